--- a/gen/jujube.pb-c.c
+++ b/gen/jujube.pb-c.c
@@ -637,6 +637,96 @@
   assert(message->base.descriptor == &jj__packet__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   jj__holding__init
+                     (Jj__Holding         *message)
+{
+  static const Jj__Holding init_value = JJ__HOLDING__INIT;
+  *message = init_value;
+}
+size_t jj__holding__get_packed_size
+                     (const Jj__Holding *message)
+{
+  assert(message->base.descriptor == &jj__holding__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jj__holding__pack
+                     (const Jj__Holding *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jj__holding__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jj__holding__pack_to_buffer
+                     (const Jj__Holding *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jj__holding__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jj__Holding *
+       jj__holding__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jj__Holding *)
+     protobuf_c_message_unpack (&jj__holding__descriptor,
+                                allocator, len, data);
+}
+void   jj__holding__free_unpacked
+                     (Jj__Holding *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jj__holding__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   jj__holdings__init
+                     (Jj__Holdings         *message)
+{
+  static const Jj__Holdings init_value = JJ__HOLDINGS__INIT;
+  *message = init_value;
+}
+size_t jj__holdings__get_packed_size
+                     (const Jj__Holdings *message)
+{
+  assert(message->base.descriptor == &jj__holdings__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jj__holdings__pack
+                     (const Jj__Holdings *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jj__holdings__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jj__holdings__pack_to_buffer
+                     (const Jj__Holdings *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jj__holdings__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jj__Holdings *
+       jj__holdings__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jj__Holdings *)
+     protobuf_c_message_unpack (&jj__holdings__descriptor,
+                                allocator, len, data);
+}
+void   jj__holdings__free_unpacked
+                     (Jj__Holdings *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jj__holdings__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   jj__reply__init
                      (Jj__Reply         *message)
 {
@@ -1281,7 +1371,7 @@
   (ProtobufCMessageInit) jj__member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jj__row__field_descriptors[14] =
+static const ProtobufCFieldDescriptor jj__row__field_descriptors[16] =
 {
   {
     "kind",
@@ -1451,11 +1541,37 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cold_per_ks",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Jj__Row, cold_per_ks),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "flow_idle_ms",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Jj__Row, flow_idle_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jj__row__field_indices_by_name[] = {
   3,   /* field[3] = address */
   13,   /* field[13] = change_id */
+  14,   /* field[14] = cold_per_ks */
   7,   /* field[7] = cold_slots */
+  15,   /* field[15] = flow_idle_ms */
   0,   /* field[0] = kind */
   6,   /* field[6] = max_flows */
   1,   /* field[1] = name */
@@ -1471,7 +1587,7 @@
 static const ProtobufCIntRange jj__row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor jj__row__descriptor =
 {
@@ -1481,7 +1597,7 @@
   "Jj__Row",
   "jj",
   sizeof(Jj__Row),
-  14,
+  16,
   jj__row__field_descriptors,
   jj__row__field_indices_by_name,
   1,  jj__row__number_ranges,
@@ -2224,7 +2340,7 @@
   (ProtobufCMessageInit) jj__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jj__packet__field_descriptors[16] =
+static const ProtobufCFieldDescriptor jj__packet__field_descriptors[17] =
 {
   {
     "service",
@@ -2418,6 +2534,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "tried",
+    17,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Jj__Packet, n_tried),
+    offsetof(Jj__Packet, tried),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jj__packet__field_indices_by_name[] = {
   13,   /* field[13] = asks_left */
@@ -2433,6 +2561,7 @@
   0,   /* field[0] = service */
   9,   /* field[9] = to_agent */
   10,   /* field[10] = to_incarnation */
+  16,   /* field[16] = tried */
   6,   /* field[6] = via_id */
   4,   /* field[4] = via_ip */
   5,   /* field[5] = via_port */
@@ -2440,7 +2569,7 @@
 static const ProtobufCIntRange jj__packet__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor jj__packet__descriptor =
 {
@@ -2450,13 +2579,141 @@
   "Jj__Packet",
   "jj",
   sizeof(Jj__Packet),
-  16,
+  17,
   jj__packet__field_descriptors,
   jj__packet__field_indices_by_name,
   1,  jj__packet__number_ranges,
   (ProtobufCMessageInit) jj__packet__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor jj__holding__field_descriptors[5] =
+{
+  {
+    "flow",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Jj__Holding, flow),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "holder",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Jj__Holding, holder),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Jj__Holding, first),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "known",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Jj__Holding, known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "closed",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Jj__Holding, closed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jj__holding__field_indices_by_name[] = {
+  4,   /* field[4] = closed */
+  2,   /* field[2] = first */
+  0,   /* field[0] = flow */
+  1,   /* field[1] = holder */
+  3,   /* field[3] = known */
+};
+static const ProtobufCIntRange jj__holding__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor jj__holding__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jj.Holding",
+  "Holding",
+  "Jj__Holding",
+  "jj",
+  sizeof(Jj__Holding),
+  5,
+  jj__holding__field_descriptors,
+  jj__holding__field_indices_by_name,
+  1,  jj__holding__number_ranges,
+  (ProtobufCMessageInit) jj__holding__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jj__holdings__field_descriptors[1] =
+{
+  {
+    "items",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jj__Holdings, n_items),
+    offsetof(Jj__Holdings, items),
+    &jj__holding__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jj__holdings__field_indices_by_name[] = {
+  0,   /* field[0] = items */
+};
+static const ProtobufCIntRange jj__holdings__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor jj__holdings__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jj.Holdings",
+  "Holdings",
+  "Jj__Holdings",
+  "jj",
+  sizeof(Jj__Holdings),
+  1,
+  jj__holdings__field_descriptors,
+  jj__holdings__field_indices_by_name,
+  1,  jj__holdings__number_ranges,
+  (ProtobufCMessageInit) jj__holdings__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor jj__reply__field_descriptors[6] =
 {
   {
@@ -3078,7 +3335,7 @@
   (ProtobufCMessageInit) jj__done__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jj__envelope__field_descriptors[21] =
+static const ProtobufCFieldDescriptor jj__envelope__field_descriptors[22] =
 {
   {
     "sender",
@@ -3332,6 +3589,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "holdings",
+    27,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jj__Envelope, body_case),
+    offsetof(Jj__Envelope, holdings),
+    &jj__holdings__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jj__envelope__field_indices_by_name[] = {
   6,   /* field[6] = ack */
@@ -3344,6 +3613,7 @@
   20,   /* field[20] = flow_list_request */
   17,   /* field[17] = handover */
   18,   /* field[18] = handover_request */
+  21,   /* field[21] = holdings */
   1,   /* field[1] = incarnation */
   2,   /* field[2] = lane */
   12,   /* field[12] = load */
@@ -3361,7 +3631,7 @@
   { 1, 0 },
   { 10, 5 },
   { 16, 10 },
-  { 0, 21 }
+  { 0, 22 }
 };
 const ProtobufCMessageDescriptor jj__envelope__descriptor =
 {
@@ -3371,7 +3641,7 @@
   "Jj__Envelope",
   "jj",
   sizeof(Jj__Envelope),
-  21,
+  22,
   jj__envelope__field_descriptors,
   jj__envelope__field_indices_by_name,
   3,  jj__envelope__number_ranges,
@@ -3476,20 +3746,22 @@
   jj__phase__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue jj__kind__enum_values_by_number[4] =
+static const ProtobufCEnumValue jj__kind__enum_values_by_number[5] =
 {
   { "KIND_NONE", "JJ__KIND__KIND_NONE", 0 },
   { "KIND_SERVICE", "JJ__KIND__KIND_SERVICE", 1 },
   { "KIND_DATA_CENTRE", "JJ__KIND__KIND_DATA_CENTRE", 2 },
   { "KIND_TARGET", "JJ__KIND__KIND_TARGET", 3 },
+  { "KIND_ROUTE", "JJ__KIND__KIND_ROUTE", 4 },
 };
 static const ProtobufCIntRange jj__kind__value_ranges[] = {
-{0, 0},{0, 4}
+{0, 0},{0, 5}
 };
-static const ProtobufCEnumValueIndex jj__kind__enum_values_by_name[4] =
+static const ProtobufCEnumValueIndex jj__kind__enum_values_by_name[5] =
 {
   { "KIND_DATA_CENTRE", 2 },
   { "KIND_NONE", 0 },
+  { "KIND_ROUTE", 4 },
   { "KIND_SERVICE", 1 },
   { "KIND_TARGET", 3 },
 };
@@ -3500,9 +3772,9 @@
   "Kind",
   "Jj__Kind",
   "jj",
-  4,
+  5,
   jj__kind__enum_values_by_number,
-  4,
+  5,
   jj__kind__enum_values_by_name,
   1,
   jj__kind__value_ranges,
--- a/gen/jujube.pb-c.h
+++ b/gen/jujube.pb-c.h
@@ -29,6 +29,8 @@
 typedef struct Jj__FlowListAck Jj__FlowListAck;
 typedef struct Jj__Load Jj__Load;
 typedef struct Jj__Packet Jj__Packet;
+typedef struct Jj__Holding Jj__Holding;
+typedef struct Jj__Holdings Jj__Holdings;
 typedef struct Jj__Reply Jj__Reply;
 typedef struct Jj__DumpRequest Jj__DumpRequest;
 typedef struct Jj__DumpReply Jj__DumpReply;
@@ -72,7 +74,11 @@
   JJ__KIND__KIND_NONE = 0,
   JJ__KIND__KIND_SERVICE = 1,
   JJ__KIND__KIND_DATA_CENTRE = 2,
-  JJ__KIND__KIND_TARGET = 3
+  JJ__KIND__KIND_TARGET = 3,
+  /*
+   * an address that callers use, and its service
+   */
+  JJ__KIND__KIND_ROUTE = 4
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(JJ__KIND)
 } Jj__Kind;
 typedef enum _Jj__RowState {
@@ -137,11 +143,11 @@
   Jj__Kind kind;
   char *name;
   /*
-   * target rows: the service it belongs to
+   * target and route rows: the service it belongs to
    */
   char *service;
   /*
-   * service rows: ip:port the callers use
+   * service and route rows: ip:port the callers use
    */
   char *address;
   /*
@@ -172,10 +178,21 @@
   uint64_t when;
   char *why;
   char *change_id;
+  /*
+   * service rows: flows that a cold target may be
+   */
+  uint32_t cold_per_ks;
+  /*
+   * given in 1,000 s, 0: not limited
+   */
+  /*
+   * service rows: flows idle for longer are
+   */
+  uint32_t flow_idle_ms;
 };
 #define JJ__ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jj__row__descriptor) \
-    , JJ__KIND__KIND_NONE, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, JJ__ROW_STATE__STATE_IN, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , JJ__KIND__KIND_NONE, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, JJ__ROW_STATE__STATE_IN, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
@@ -392,10 +409,49 @@
    * walk: its load over its cap, in thousandths
    */
   uint32_t best_fill;
+  /*
+   * relayed opening: agents that could not take it
+   */
+  size_t n_tried;
+  uint64_t *tried;
 };
 #define JJ__PACKET__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jj__packet__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, {0,NULL}, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, {0,NULL}, 0, 0, 0, 0, 0,NULL }
+
+
+/*
+ * Who holds a relayed flow; to the agent that ranks first and to balancers.
+ */
+struct  Jj__Holding
+{
+  ProtobufCMessage base;
+  uint64_t flow;
+  uint64_t holder;
+  /*
+   * the target's first sequence number
+   */
+  uint32_t first;
+  /*
+   * first is set
+   */
+  protobuf_c_boolean known;
+  protobuf_c_boolean closed;
+};
+#define JJ__HOLDING__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jj__holding__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
+struct  Jj__Holdings
+{
+  ProtobufCMessage base;
+  size_t n_items;
+  Jj__Holding **items;
+};
+#define JJ__HOLDINGS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jj__holdings__descriptor) \
+    , 0,NULL }
 
 
 /*
@@ -549,7 +605,8 @@
   JJ__ENVELOPE__BODY_HANDOVER = 23,
   JJ__ENVELOPE__BODY_HANDOVER_REQUEST = 24,
   JJ__ENVELOPE__BODY_DONE = 25,
-  JJ__ENVELOPE__BODY_FLOW_LIST_REQUEST = 26
+  JJ__ENVELOPE__BODY_FLOW_LIST_REQUEST = 26,
+  JJ__ENVELOPE__BODY_HOLDINGS = 27
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(JJ__ENVELOPE__BODY__CASE)
 } Jj__Envelope__BodyCase;
 
@@ -582,6 +639,7 @@
     Jj__HandoverRequest *handover_request;
     Jj__Done *done;
     Jj__FlowListRequest *flow_list_request;
+    Jj__Holdings *holdings;
   };
 };
 #define JJ__ENVELOPE__INIT \
@@ -855,6 +913,44 @@
 void   jj__packet__free_unpacked
                      (Jj__Packet *message,
                       ProtobufCAllocator *allocator);
+/* Jj__Holding methods */
+void   jj__holding__init
+                     (Jj__Holding         *message);
+size_t jj__holding__get_packed_size
+                     (const Jj__Holding   *message);
+size_t jj__holding__pack
+                     (const Jj__Holding   *message,
+                      uint8_t             *out);
+size_t jj__holding__pack_to_buffer
+                     (const Jj__Holding   *message,
+                      ProtobufCBuffer     *buffer);
+Jj__Holding *
+       jj__holding__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jj__holding__free_unpacked
+                     (Jj__Holding *message,
+                      ProtobufCAllocator *allocator);
+/* Jj__Holdings methods */
+void   jj__holdings__init
+                     (Jj__Holdings         *message);
+size_t jj__holdings__get_packed_size
+                     (const Jj__Holdings   *message);
+size_t jj__holdings__pack
+                     (const Jj__Holdings   *message,
+                      uint8_t             *out);
+size_t jj__holdings__pack_to_buffer
+                     (const Jj__Holdings   *message,
+                      ProtobufCBuffer     *buffer);
+Jj__Holdings *
+       jj__holdings__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jj__holdings__free_unpacked
+                     (Jj__Holdings *message,
+                      ProtobufCAllocator *allocator);
 /* Jj__Reply methods */
 void   jj__reply__init
                      (Jj__Reply         *message);
@@ -1089,6 +1185,12 @@
 typedef void (*Jj__Packet_Closure)
                  (const Jj__Packet *message,
                   void *closure_data);
+typedef void (*Jj__Holding_Closure)
+                 (const Jj__Holding *message,
+                  void *closure_data);
+typedef void (*Jj__Holdings_Closure)
+                 (const Jj__Holdings *message,
+                  void *closure_data);
 typedef void (*Jj__Reply_Closure)
                  (const Jj__Reply *message,
                   void *closure_data);
@@ -1144,6 +1246,8 @@
 extern const ProtobufCMessageDescriptor jj__flow_list_ack__descriptor;
 extern const ProtobufCMessageDescriptor jj__load__descriptor;
 extern const ProtobufCMessageDescriptor jj__packet__descriptor;
+extern const ProtobufCMessageDescriptor jj__holding__descriptor;
+extern const ProtobufCMessageDescriptor jj__holdings__descriptor;
 extern const ProtobufCMessageDescriptor jj__reply__descriptor;
 extern const ProtobufCMessageDescriptor jj__dump_request__descriptor;
 extern const ProtobufCMessageDescriptor jj__dump_reply__descriptor;
--- a/gen/settings.pb-c.c
+++ b/gen/settings.pb-c.c
@@ -277,6 +277,141 @@
   assert(message->base.descriptor == &jj__target_section__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   jj__ingress_section__init
+                     (Jj__IngressSection         *message)
+{
+  static const Jj__IngressSection init_value = JJ__INGRESS_SECTION__INIT;
+  *message = init_value;
+}
+size_t jj__ingress_section__get_packed_size
+                     (const Jj__IngressSection *message)
+{
+  assert(message->base.descriptor == &jj__ingress_section__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jj__ingress_section__pack
+                     (const Jj__IngressSection *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jj__ingress_section__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jj__ingress_section__pack_to_buffer
+                     (const Jj__IngressSection *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jj__ingress_section__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jj__IngressSection *
+       jj__ingress_section__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jj__IngressSection *)
+     protobuf_c_message_unpack (&jj__ingress_section__descriptor,
+                                allocator, len, data);
+}
+void   jj__ingress_section__free_unpacked
+                     (Jj__IngressSection *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jj__ingress_section__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   jj__egress_section__init
+                     (Jj__EgressSection         *message)
+{
+  static const Jj__EgressSection init_value = JJ__EGRESS_SECTION__INIT;
+  *message = init_value;
+}
+size_t jj__egress_section__get_packed_size
+                     (const Jj__EgressSection *message)
+{
+  assert(message->base.descriptor == &jj__egress_section__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jj__egress_section__pack
+                     (const Jj__EgressSection *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jj__egress_section__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jj__egress_section__pack_to_buffer
+                     (const Jj__EgressSection *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jj__egress_section__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jj__EgressSection *
+       jj__egress_section__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jj__EgressSection *)
+     protobuf_c_message_unpack (&jj__egress_section__descriptor,
+                                allocator, len, data);
+}
+void   jj__egress_section__free_unpacked
+                     (Jj__EgressSection *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jj__egress_section__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   jj__registry_section__init
+                     (Jj__RegistrySection         *message)
+{
+  static const Jj__RegistrySection init_value = JJ__REGISTRY_SECTION__INIT;
+  *message = init_value;
+}
+size_t jj__registry_section__get_packed_size
+                     (const Jj__RegistrySection *message)
+{
+  assert(message->base.descriptor == &jj__registry_section__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jj__registry_section__pack
+                     (const Jj__RegistrySection *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jj__registry_section__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jj__registry_section__pack_to_buffer
+                     (const Jj__RegistrySection *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jj__registry_section__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jj__RegistrySection *
+       jj__registry_section__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jj__RegistrySection *)
+     protobuf_c_message_unpack (&jj__registry_section__descriptor,
+                                allocator, len, data);
+}
+void   jj__registry_section__free_unpacked
+                     (Jj__RegistrySection *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jj__registry_section__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   jj__log_section__init
                      (Jj__LogSection         *message)
 {
@@ -596,7 +731,10 @@
 static const uint32_t jj__fleet_section__probe_ms__default_value = 500u;
 static const uint32_t jj__fleet_section__suspect_ms__default_value = 2000u;
 static const uint32_t jj__fleet_section__gossip_ms__default_value = 200u;
-static const ProtobufCFieldDescriptor jj__fleet_section__field_descriptors[5] =
+static const uint32_t jj__fleet_section__members_max__default_value = 16384u;
+static const uint32_t jj__fleet_section__rows_max__default_value = 16384u;
+static const uint32_t jj__fleet_section__lanes_max__default_value = 65536u;
+static const ProtobufCFieldDescriptor jj__fleet_section__field_descriptors[8] =
 {
   {
     "key",
@@ -658,18 +796,57 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "members_max",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Jj__FleetSection, has_members_max),
+    offsetof(Jj__FleetSection, members_max),
+    NULL,
+    &jj__fleet_section__members_max__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rows_max",
+    7,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Jj__FleetSection, has_rows_max),
+    offsetof(Jj__FleetSection, rows_max),
+    NULL,
+    &jj__fleet_section__rows_max__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lanes_max",
+    8,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Jj__FleetSection, has_lanes_max),
+    offsetof(Jj__FleetSection, lanes_max),
+    NULL,
+    &jj__fleet_section__lanes_max__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jj__fleet_section__field_indices_by_name[] = {
   4,   /* field[4] = gossip_ms */
   0,   /* field[0] = key */
+  7,   /* field[7] = lanes_max */
+  5,   /* field[5] = members_max */
   2,   /* field[2] = probe_ms */
+  6,   /* field[6] = rows_max */
   1,   /* field[1] = seeds */
   3,   /* field[3] = suspect_ms */
 };
 static const ProtobufCIntRange jj__fleet_section__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor jj__fleet_section__descriptor =
 {
@@ -679,7 +856,7 @@
   "Jj__FleetSection",
   "jj",
   sizeof(Jj__FleetSection),
-  5,
+  8,
   jj__fleet_section__field_descriptors,
   jj__fleet_section__field_indices_by_name,
   1,  jj__fleet_section__number_ranges,
@@ -1144,6 +1321,305 @@
   (ProtobufCMessageInit) jj__target_section__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+char jj__ingress_section__address__default_value[] = "";
+char jj__ingress_section__ready__default_value[] = "";
+char jj__ingress_section__callers__default_value[] = "";
+static const uint32_t jj__ingress_section__max_flows__default_value = 16384u;
+static const uint32_t jj__ingress_section__drain_ms__default_value = 5000u;
+static const ProtobufCFieldDescriptor jj__ingress_section__field_descriptors[5] =
+{
+  {
+    "address",
+    1,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jj__IngressSection, address),
+    NULL,
+    &jj__ingress_section__address__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ready",
+    2,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jj__IngressSection, ready),
+    NULL,
+    &jj__ingress_section__ready__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "callers",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jj__IngressSection, callers),
+    NULL,
+    &jj__ingress_section__callers__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_flows",
+    4,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Jj__IngressSection, has_max_flows),
+    offsetof(Jj__IngressSection, max_flows),
+    NULL,
+    &jj__ingress_section__max_flows__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "drain_ms",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Jj__IngressSection, has_drain_ms),
+    offsetof(Jj__IngressSection, drain_ms),
+    NULL,
+    &jj__ingress_section__drain_ms__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jj__ingress_section__field_indices_by_name[] = {
+  0,   /* field[0] = address */
+  2,   /* field[2] = callers */
+  4,   /* field[4] = drain_ms */
+  3,   /* field[3] = max_flows */
+  1,   /* field[1] = ready */
+};
+static const ProtobufCIntRange jj__ingress_section__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor jj__ingress_section__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jj.IngressSection",
+  "IngressSection",
+  "Jj__IngressSection",
+  "jj",
+  sizeof(Jj__IngressSection),
+  5,
+  jj__ingress_section__field_descriptors,
+  jj__ingress_section__field_indices_by_name,
+  1,  jj__ingress_section__number_ranges,
+  (ProtobufCMessageInit) jj__ingress_section__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+char jj__egress_section__address__default_value[] = "";
+char jj__egress_section__ready__default_value[] = "";
+char jj__egress_section__heartbeats__default_value[] = "";
+char jj__egress_section__callers__default_value[] = "";
+static const uint32_t jj__egress_section__heartbeat_ms__default_value = 1000u;
+static const uint32_t jj__egress_section__flow_ttl_s__default_value = 60u;
+static const uint32_t jj__egress_section__drain_ms__default_value = 4000u;
+static const ProtobufCFieldDescriptor jj__egress_section__field_descriptors[7] =
+{
+  {
+    "address",
+    1,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jj__EgressSection, address),
+    NULL,
+    &jj__egress_section__address__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ready",
+    2,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jj__EgressSection, ready),
+    NULL,
+    &jj__egress_section__ready__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "heartbeats",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jj__EgressSection, heartbeats),
+    NULL,
+    &jj__egress_section__heartbeats__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "callers",
+    4,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jj__EgressSection, callers),
+    NULL,
+    &jj__egress_section__callers__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "heartbeat_ms",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Jj__EgressSection, has_heartbeat_ms),
+    offsetof(Jj__EgressSection, heartbeat_ms),
+    NULL,
+    &jj__egress_section__heartbeat_ms__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "flow_ttl_s",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Jj__EgressSection, has_flow_ttl_s),
+    offsetof(Jj__EgressSection, flow_ttl_s),
+    NULL,
+    &jj__egress_section__flow_ttl_s__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "drain_ms",
+    7,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Jj__EgressSection, has_drain_ms),
+    offsetof(Jj__EgressSection, drain_ms),
+    NULL,
+    &jj__egress_section__drain_ms__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jj__egress_section__field_indices_by_name[] = {
+  0,   /* field[0] = address */
+  3,   /* field[3] = callers */
+  6,   /* field[6] = drain_ms */
+  5,   /* field[5] = flow_ttl_s */
+  4,   /* field[4] = heartbeat_ms */
+  2,   /* field[2] = heartbeats */
+  1,   /* field[1] = ready */
+};
+static const ProtobufCIntRange jj__egress_section__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor jj__egress_section__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jj.EgressSection",
+  "EgressSection",
+  "Jj__EgressSection",
+  "jj",
+  sizeof(Jj__EgressSection),
+  7,
+  jj__egress_section__field_descriptors,
+  jj__egress_section__field_indices_by_name,
+  1,  jj__egress_section__number_ranges,
+  (ProtobufCMessageInit) jj__egress_section__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+char jj__registry_section__address__default_value[] = "";
+static const uint32_t jj__registry_section__lease_s__default_value = 60u;
+static const uint32_t jj__registry_section__watch_s__default_value = 20u;
+static const uint32_t jj__registry_section__timeout_ms__default_value = 1000u;
+static const ProtobufCFieldDescriptor jj__registry_section__field_descriptors[4] =
+{
+  {
+    "address",
+    1,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jj__RegistrySection, address),
+    NULL,
+    &jj__registry_section__address__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease_s",
+    2,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Jj__RegistrySection, has_lease_s),
+    offsetof(Jj__RegistrySection, lease_s),
+    NULL,
+    &jj__registry_section__lease_s__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "watch_s",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Jj__RegistrySection, has_watch_s),
+    offsetof(Jj__RegistrySection, watch_s),
+    NULL,
+    &jj__registry_section__watch_s__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "timeout_ms",
+    4,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Jj__RegistrySection, has_timeout_ms),
+    offsetof(Jj__RegistrySection, timeout_ms),
+    NULL,
+    &jj__registry_section__timeout_ms__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jj__registry_section__field_indices_by_name[] = {
+  0,   /* field[0] = address */
+  1,   /* field[1] = lease_s */
+  3,   /* field[3] = timeout_ms */
+  2,   /* field[2] = watch_s */
+};
+static const ProtobufCIntRange jj__registry_section__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor jj__registry_section__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jj.RegistrySection",
+  "RegistrySection",
+  "Jj__RegistrySection",
+  "jj",
+  sizeof(Jj__RegistrySection),
+  4,
+  jj__registry_section__field_descriptors,
+  jj__registry_section__field_indices_by_name,
+  1,  jj__registry_section__number_ranges,
+  (ProtobufCMessageInit) jj__registry_section__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 char jj__log_section__level__default_value[] = "info";
 static const ProtobufCFieldDescriptor jj__log_section__field_descriptors[1] =
 {
@@ -1183,7 +1659,7 @@
   (ProtobufCMessageInit) jj__log_section__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jj__balancer_settings__field_descriptors[6] =
+static const ProtobufCFieldDescriptor jj__balancer_settings__field_descriptors[8] =
 {
   {
     "identity",
@@ -1212,7 +1688,7 @@
   {
     "platform",
     3,
-    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_LABEL_OPTIONAL,
     PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
     offsetof(Jj__BalancerSettings, platform),
@@ -1236,7 +1712,7 @@
   {
     "admin",
     5,
-    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_LABEL_OPTIONAL,
     PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
     offsetof(Jj__BalancerSettings, admin),
@@ -1257,19 +1733,45 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ingress",
+    7,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Jj__BalancerSettings, ingress),
+    &jj__ingress_section__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "registry",
+    8,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Jj__BalancerSettings, registry),
+    &jj__registry_section__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jj__balancer_settings__field_indices_by_name[] = {
   4,   /* field[4] = admin */
   1,   /* field[1] = fleet */
   3,   /* field[3] = forward */
   0,   /* field[0] = identity */
+  6,   /* field[6] = ingress */
   5,   /* field[5] = log */
   2,   /* field[2] = platform */
+  7,   /* field[7] = registry */
 };
 static const ProtobufCIntRange jj__balancer_settings__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor jj__balancer_settings__descriptor =
 {
@@ -1279,14 +1781,14 @@
   "Jj__BalancerSettings",
   "jj",
   sizeof(Jj__BalancerSettings),
-  6,
+  8,
   jj__balancer_settings__field_descriptors,
   jj__balancer_settings__field_indices_by_name,
   1,  jj__balancer_settings__number_ranges,
   (ProtobufCMessageInit) jj__balancer_settings__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jj__agent_settings__field_descriptors[4] =
+static const ProtobufCFieldDescriptor jj__agent_settings__field_descriptors[6] =
 {
   {
     "identity",
@@ -1336,17 +1838,43 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "egress",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Jj__AgentSettings, egress),
+    &jj__egress_section__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "registry",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Jj__AgentSettings, registry),
+    &jj__registry_section__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jj__agent_settings__field_indices_by_name[] = {
+  4,   /* field[4] = egress */
   1,   /* field[1] = fleet */
   0,   /* field[0] = identity */
   3,   /* field[3] = log */
+  5,   /* field[5] = registry */
   2,   /* field[2] = target */
 };
 static const ProtobufCIntRange jj__agent_settings__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor jj__agent_settings__descriptor =
 {
@@ -1356,7 +1884,7 @@
   "Jj__AgentSettings",
   "jj",
   sizeof(Jj__AgentSettings),
-  4,
+  6,
   jj__agent_settings__field_descriptors,
   jj__agent_settings__field_indices_by_name,
   1,  jj__agent_settings__number_ranges,
--- a/gen/settings.pb-c.h
+++ b/gen/settings.pb-c.h
@@ -21,6 +21,9 @@
 typedef struct Jj__ForwardSection Jj__ForwardSection;
 typedef struct Jj__AdminSection Jj__AdminSection;
 typedef struct Jj__TargetSection Jj__TargetSection;
+typedef struct Jj__IngressSection Jj__IngressSection;
+typedef struct Jj__EgressSection Jj__EgressSection;
+typedef struct Jj__RegistrySection Jj__RegistrySection;
 typedef struct Jj__LogSection Jj__LogSection;
 typedef struct Jj__BalancerSettings Jj__BalancerSettings;
 typedef struct Jj__AgentSettings Jj__AgentSettings;
@@ -64,11 +67,20 @@
   uint32_t suspect_ms;
   protobuf_c_boolean has_gossip_ms;
   uint32_t gossip_ms;
+  protobuf_c_boolean has_members_max;
+  uint32_t members_max;
+  protobuf_c_boolean has_rows_max;
+  uint32_t rows_max;
+  /*
+   * sending threads heard of
+   */
+  protobuf_c_boolean has_lanes_max;
+  uint32_t lanes_max;
 };
 extern char jj__fleet_section__seeds__default_value[];
 #define JJ__FLEET_SECTION__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jj__fleet_section__descriptor) \
-    , NULL, jj__fleet_section__seeds__default_value, 0, 500u, 0, 2000u, 0, 200u }
+    , NULL, jj__fleet_section__seeds__default_value, 0, 500u, 0, 2000u, 0, 200u, 0, 16384u, 0, 16384u, 0, 65536u }
 
 
 struct  Jj__PlatformSection
@@ -159,6 +171,99 @@
     , NULL, NULL, 0, 5u, 0, 1u, 0, 2000u, 0, 32u, 0, 30000u, 0, 150u, 0, 86400u, 0, 2u, 0, 32768u, 0, 30u, 0, 500u, jj__target_section__name__default_value }
 
 
+/*
+ * Packets of callers come from a fabric that keeps their addresses, and are
+ * relayed as they are (see include/jujube/flow.h).
+ */
+struct  Jj__IngressSection
+{
+  ProtobufCMessage base;
+  /*
+   * ip:port, "": services' own
+   */
+  char *address;
+  /*
+   * ip:port of the readiness check
+   */
+  char *ready;
+  /*
+   * ip:port; callers are reached
+   */
+  char *callers;
+  /*
+   * at its port, "": address's
+   */
+  protobuf_c_boolean has_max_flows;
+  uint32_t max_flows;
+  protobuf_c_boolean has_drain_ms;
+  uint32_t drain_ms;
+};
+extern char jj__ingress_section__address__default_value[];
+extern char jj__ingress_section__ready__default_value[];
+extern char jj__ingress_section__callers__default_value[];
+#define JJ__INGRESS_SECTION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jj__ingress_section__descriptor) \
+    , jj__ingress_section__address__default_value, jj__ingress_section__ready__default_value, jj__ingress_section__callers__default_value, 0, 16384u, 0, 5000u }
+
+
+struct  Jj__EgressSection
+{
+  ProtobufCMessage base;
+  /*
+   * ip:port the target sends to
+   */
+  char *address;
+  char *ready;
+  /*
+   * ip:port for the target's
+   */
+  char *heartbeats;
+  /*
+   * ip:port; callers are reached
+   */
+  char *callers;
+  /*
+   * at its port
+   */
+  protobuf_c_boolean has_heartbeat_ms;
+  uint32_t heartbeat_ms;
+  protobuf_c_boolean has_flow_ttl_s;
+  uint32_t flow_ttl_s;
+  protobuf_c_boolean has_drain_ms;
+  uint32_t drain_ms;
+};
+extern char jj__egress_section__address__default_value[];
+extern char jj__egress_section__ready__default_value[];
+extern char jj__egress_section__heartbeats__default_value[];
+extern char jj__egress_section__callers__default_value[];
+#define JJ__EGRESS_SECTION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jj__egress_section__descriptor) \
+    , jj__egress_section__address__default_value, jj__egress_section__ready__default_value, jj__egress_section__heartbeats__default_value, jj__egress_section__callers__default_value, 0, 1000u, 0, 60u, 0, 4000u }
+
+
+/*
+ * How the fleet finds itself and its table on the platform.
+ */
+struct  Jj__RegistrySection
+{
+  ProtobufCMessage base;
+  /*
+   * ip:port, "": not used
+   */
+  char *address;
+  protobuf_c_boolean has_lease_s;
+  uint32_t lease_s;
+  protobuf_c_boolean has_watch_s;
+  uint32_t watch_s;
+  protobuf_c_boolean has_timeout_ms;
+  uint32_t timeout_ms;
+};
+extern char jj__registry_section__address__default_value[];
+#define JJ__REGISTRY_SECTION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jj__registry_section__descriptor) \
+    , jj__registry_section__address__default_value, 0, 60u, 0, 20u, 0, 1000u }
+
+
 struct  Jj__LogSection
 {
   ProtobufCMessage base;
@@ -179,10 +284,12 @@
   Jj__ForwardSection *forward;
   Jj__AdminSection *admin;
   Jj__LogSection *log;
+  Jj__IngressSection *ingress;
+  Jj__RegistrySection *registry;
 };
 #define JJ__BALANCER_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jj__balancer_settings__descriptor) \
-    , NULL, NULL, NULL, NULL, NULL, NULL }
+    , NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL }
 
 
 struct  Jj__AgentSettings
@@ -192,10 +299,12 @@
   Jj__FleetSection *fleet;
   Jj__TargetSection *target;
   Jj__LogSection *log;
+  Jj__EgressSection *egress;
+  Jj__RegistrySection *registry;
 };
 #define JJ__AGENT_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jj__agent_settings__descriptor) \
-    , NULL, NULL, NULL, NULL }
+    , NULL, NULL, NULL, NULL, NULL, NULL }
 
 
 struct  Jj__OperatorSection
@@ -341,6 +450,63 @@
 void   jj__target_section__free_unpacked
                      (Jj__TargetSection *message,
                       ProtobufCAllocator *allocator);
+/* Jj__IngressSection methods */
+void   jj__ingress_section__init
+                     (Jj__IngressSection         *message);
+size_t jj__ingress_section__get_packed_size
+                     (const Jj__IngressSection   *message);
+size_t jj__ingress_section__pack
+                     (const Jj__IngressSection   *message,
+                      uint8_t             *out);
+size_t jj__ingress_section__pack_to_buffer
+                     (const Jj__IngressSection   *message,
+                      ProtobufCBuffer     *buffer);
+Jj__IngressSection *
+       jj__ingress_section__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jj__ingress_section__free_unpacked
+                     (Jj__IngressSection *message,
+                      ProtobufCAllocator *allocator);
+/* Jj__EgressSection methods */
+void   jj__egress_section__init
+                     (Jj__EgressSection         *message);
+size_t jj__egress_section__get_packed_size
+                     (const Jj__EgressSection   *message);
+size_t jj__egress_section__pack
+                     (const Jj__EgressSection   *message,
+                      uint8_t             *out);
+size_t jj__egress_section__pack_to_buffer
+                     (const Jj__EgressSection   *message,
+                      ProtobufCBuffer     *buffer);
+Jj__EgressSection *
+       jj__egress_section__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jj__egress_section__free_unpacked
+                     (Jj__EgressSection *message,
+                      ProtobufCAllocator *allocator);
+/* Jj__RegistrySection methods */
+void   jj__registry_section__init
+                     (Jj__RegistrySection         *message);
+size_t jj__registry_section__get_packed_size
+                     (const Jj__RegistrySection   *message);
+size_t jj__registry_section__pack
+                     (const Jj__RegistrySection   *message,
+                      uint8_t             *out);
+size_t jj__registry_section__pack_to_buffer
+                     (const Jj__RegistrySection   *message,
+                      ProtobufCBuffer     *buffer);
+Jj__RegistrySection *
+       jj__registry_section__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jj__registry_section__free_unpacked
+                     (Jj__RegistrySection *message,
+                      ProtobufCAllocator *allocator);
 /* Jj__LogSection methods */
 void   jj__log_section__init
                      (Jj__LogSection         *message);
@@ -456,6 +622,15 @@
 typedef void (*Jj__TargetSection_Closure)
                  (const Jj__TargetSection *message,
                   void *closure_data);
+typedef void (*Jj__IngressSection_Closure)
+                 (const Jj__IngressSection *message,
+                  void *closure_data);
+typedef void (*Jj__EgressSection_Closure)
+                 (const Jj__EgressSection *message,
+                  void *closure_data);
+typedef void (*Jj__RegistrySection_Closure)
+                 (const Jj__RegistrySection *message,
+                  void *closure_data);
 typedef void (*Jj__LogSection_Closure)
                  (const Jj__LogSection *message,
                   void *closure_data);
@@ -483,6 +658,9 @@
 extern const ProtobufCMessageDescriptor jj__forward_section__descriptor;
 extern const ProtobufCMessageDescriptor jj__admin_section__descriptor;
 extern const ProtobufCMessageDescriptor jj__target_section__descriptor;
+extern const ProtobufCMessageDescriptor jj__ingress_section__descriptor;
+extern const ProtobufCMessageDescriptor jj__egress_section__descriptor;
+extern const ProtobufCMessageDescriptor jj__registry_section__descriptor;
 extern const ProtobufCMessageDescriptor jj__log_section__descriptor;
 extern const ProtobufCMessageDescriptor jj__balancer_settings__descriptor;
 extern const ProtobufCMessageDescriptor jj__agent_settings__descriptor;
--- a/include/jujube/log.h
+++ b/include/jujube/log.h
@@ -54,6 +54,18 @@
 	X(503, LOG_WARN_, OUTCOME_UNKNOWN, "outcome of a request unknown")     \
 	X(504, LOG_WARN_, WRONG_TARGET,                                        \
 	  "another target answers at this address")                            \
+	X(505, LOG_INFO_, TARGET_REPORT, "target reported another state")      \
+	X(506, LOG_INFO_, TARGET_LEFT, "target said that it has left")         \
+	X(507, LOG_WARN_, REPORT_REFUSED, "heartbeat refused")                 \
+	X(520, LOG_INFO_, FLOW_OPENED, "flow given to the target")             \
+	X(521, LOG_WARN_, FLOW_REFUSED, "no target can take a flow")           \
+	X(522, LOG_WARN_, FLOW_RESET, "open flow reset")                       \
+	X(523, LOG_WARN_, FLOW_UNHELD, "packet of a flow that nobody holds")   \
+	X(524, LOG_INFO_, ROUTE_UNKNOWN, "no route for an opening packet")     \
+	X(320, LOG_INFO_, REGISTERED, "process entered on the platform")       \
+	X(321, LOG_WARN_, LEASE_LOST, "entry on the platform was lost")        \
+	X(322, LOG_WARN_, HISTORY_LOST, "platform dropped its history")        \
+	X(323, LOG_WARN_, ITEM_REFUSED, "item of the platform refused")        \
 	X(510, LOG_INFO_, HANDED_OVER, "flows and ledger handed over")         \
 	X(511, LOG_INFO_, TAKEN_OVER, "flows and ledger taken back")           \
 	X(512, LOG_WARN_, HANDOVER_FAILED, "flows and ledger not handed over")
--- a/include/jujube/metric.h
+++ b/include/jujube/metric.h
@@ -40,7 +40,14 @@
 	X(CONTROL_IN, "control_in", "control bytes received")                  \
 	X(CONTROL_OUT, "control_out", "control bytes sent")                    \
 	X(PLATFORM_CALLS, "platform_calls", "calls to the platform")           \
-	X(PULLS, "pulls", "state transfers asked for")
+	X(PULLS, "pulls", "state transfers asked for")                         \
+	X(RESETS, "resets", "resets sent to callers")                          \
+	X(TRIED, "tried", "packets tried at a target that may hold them")      \
+	X(UNHELD, "unheld", "packets of flows that nobody holds")              \
+	X(DELIVERED, "delivered", "packets of held flows given to the target") \
+	X(ADOPTED, "adopted", "flows learnt from what the target sends")       \
+	X(RETURNED, "returned", "packets that the target returned")            \
+	X(NO_ROUTE, "no_route", "openings without a route")
 
 enum met_counter {
 #define X(id, name, text) MET_##id,
--- a/include/jujube/route.h
+++ b/include/jujube/route.h
@@ -58,6 +58,9 @@
 		       const struct viw_service *service, uint64_t key,
 		       uint64_t now_ms, struct rt_choice *choice);
 
+/* Agent that holds a flow by the cache, 0: not known. */
+uint64_t rt_holder(struct rt *rt, uint64_t key, uint64_t now_ms);
+
 /* A reply named the holder of a flow. */
 void rt_learn(struct rt *rt, uint64_t key, uint64_t holder, uint64_t now_ms);
 
--- a/include/jujube/table.h
+++ b/include/jujube/table.h
@@ -1,7 +1,7 @@
 /*
  * table - the operators' table
  *
- * Rows of services, data centres and targets, each with the table revision
+ * Rows of services, routes, data centres and targets, each with the table revision
  * that last changed it. The table's revision only rises: a row is replaced
  * only by one of a higher revision, so rows may arrive in any order and any
  * number of times, and two processes that heard the same changes hold the
@@ -33,6 +33,8 @@
 	uint32_t slots;
 	uint32_t max_flows;
 	uint32_t cold_slots;
+	uint32_t cold_per_ks;
+	uint32_t flow_idle_ms;
 	Jj__RowState state;
 	uint64_t revision;
 	char who[TBL_NAME_MAX];
@@ -118,6 +120,26 @@
 enum jj_status tbl_apply(struct tbl *tbl, const struct tbl_edits *edits,
 			 struct jj_error *err);
 
+/*
+ * Replaces what one source (an item that operators wrote elsewhere) stood for
+ * by rows, as of revision: rows that differ are taken over, those of the
+ * source that are not among them are removed. Rows that are held with a higher
+ * revision stay. JJ_INVALID: a row breaks a rule, nothing was changed. A
+ * source is remembered as the rows' change_id. Returns by *changed how many
+ * rows were. The table's revision stays: see tbl_advance().
+ */
+enum jj_status tbl_replace(struct tbl *tbl, const char *source,
+			   const struct tbl_row *rows, uint32_t count,
+			   uint64_t revision, uint32_t *changed,
+			   struct jj_error *err);
+
+/* Removes, as of revision, all rows of sources that are not named. */
+uint32_t tbl_keep_sources(struct tbl *tbl, const char *const *sources,
+			  uint32_t count, uint64_t revision);
+
+/* All that happened up to revision is in the table; never lowers it. */
+void tbl_advance(struct tbl *tbl, uint64_t revision);
+
 /* Copies all of from into tbl. Both must have the same capacity. */
 void tbl_copy(struct tbl *tbl, const struct tbl *from);
 
--- a/include/jujube/view.h
+++ b/include/jujube/view.h
@@ -29,6 +29,16 @@
 	uint32_t slots; /* limits from the table, 0: none given */
 	uint32_t max_flows;
 	uint32_t cold_slots;
+	uint64_t data_centre; /* hash of its name */
+};
+
+/* An address that callers use, with one of the services behind it. */
+struct viw_route {
+	uint32_t ip;
+	uint16_t port;
+	uint8_t former; /* flows opened earlier may still be there */
+	uint32_t weight;
+	uint32_t service; /* position in services */
 };
 
 struct viw_service {
@@ -40,6 +50,8 @@
 	uint32_t first; /* its agents: agents[first .. first + count) */
 	uint32_t count;
 	uint64_t digest; /* of everything that ranking depends on */
+	uint32_t cold_per_ks; /* see table.h, 0: not limited */
+	uint32_t flow_idle_ms; /* 0: by the settings */
 };
 
 struct viw_balancer {
@@ -48,6 +60,7 @@
 	uint16_t data_port;
 	uint16_t control_port;
 	uint8_t usable; /* its data centre is not out */
+	uint64_t data_centre;
 };
 
 struct viw {
@@ -57,12 +70,15 @@
 	uint32_t service_count;
 	struct viw_agent *agents;
 	struct rnk_node *nodes; /* parallel to agents; weight 0: not eligible */
+	struct rnk_node *homes; /* parallel to agents; who may hold flows */
 	uint32_t agent_count;
 	struct viw_balancer *balancers;
 	uint32_t balancer_count;
 	struct map agent_index; /* agent id -> position */
 	struct map_cell *cells;
 	uint8_t self_out; /* this process's data centre is out */
+	struct viw_route *routes; /* by address */
+	uint32_t route_count;
 };
 
 /* On the heap; null: out of memory. viw_free() takes null. */
@@ -81,6 +97,33 @@
 int viw_order(const struct viw *view, const struct viw_service *service,
 	      uint64_t key, int *out, int max);
 
+/*
+ * Agents that keep track of a relayed flow, as positions in view->agents, best
+ * first: ranks among all that may hold flows, whether they may open any or
+ * not, so that a drain or a cold start moves none.
+ */
+int viw_homes(const struct viw *view, const struct viw_service *service,
+	      uint64_t key, int *out, int max);
+const struct viw_agent *viw_home(const struct viw *view,
+				 const struct viw_service *service,
+				 uint64_t key);
+
+/*
+ * Service that new flows of a route's address go to, drawn by weight from the
+ * flow's key; null: no route, or its service has no row.
+ */
+const struct viw_service *viw_route(const struct viw *view, uint32_t ip,
+				    uint16_t port, uint64_t key);
+
+/* Whether the address leads to the service, now or (former) earlier. */
+int viw_leads_to(const struct viw *view, uint32_t ip, uint16_t port,
+		 const struct viw_service *service, int former);
+
+/* The next service after previous (null: first) that a route led to. */
+const struct viw_service *viw_former(const struct viw *view, uint32_t ip,
+				     uint16_t port,
+				     const struct viw_service *previous);
+
 /* A balancer that answers for id via can go through: via itself or another. */
 const struct viw_balancer *viw_answer_path(const struct viw *view, uint64_t via,
 					   uint64_t key);
--- a/scripts/deps.sh
+++ b/scripts/deps.sh
@@ -5,7 +5,7 @@
 	libclang-rt-14-dev libcoap3-dev libcoap3-bin liburcu-dev
 	libprotobuf-c-dev protobuf-c-compiler libinih-dev libmicrohttpd-dev
 	libcurl4-openssl-dev libcsv-dev libxxhash-dev libsodium-dev
-	libjansson-dev libgtest-dev librapidcheck-dev curl procps"
+	libjansson-dev libevent-dev libgtest-dev librapidcheck-dev curl procps"
 missing=""
 for package in $packages; do
 	dpkg-query -W -f '${Status}' "$package" 2>/dev/null |
--- /dev/null
+++ b/src/bin/relayd.c
@@ -0,0 +1,113 @@
+#include "relayd.h"
+
+#include <stdlib.h>
+
+/* -- calls --------------------------------------------------------------- */
+
+static char *metrics_text(struct rld *rld)
+{
+	char *text = NULL;
+	size_t len = 0;
+	FILE *out = open_memstream(&text, &len);
+	int i;
+
+	if (!out)
+		return NULL;
+	for (i = 0; i < MET_COUNT; i++)
+		fprintf(out, "jujube_%s %llu\n",
+			met_name((enum met_counter)i),
+			(unsigned long long)met_get(&rld->nod->met,
+						    (enum met_counter)i));
+	fclose(out);
+	return text;
+}
+
+static enum jj_status serve(struct rld *rld, const struct pf_call *call,
+			    struct hts_answer *answer, struct jj_error *err)
+{
+	switch (call->kind) {
+	case PF_READY:
+		return !rld->stopping && rld->hooks.ready(rld->hooks.ctx) ?
+			       JJ_OK :
+			       JJ_UNAVAILABLE;
+	case PF_METRICS:
+		answer->type = "text/plain";
+		answer->body = metrics_text(rld);
+		return answer->body ? JJ_OK : JJ_UNAVAILABLE;
+	case PF_REPORT:
+		return rld->hooks.report ?
+			       rld->hooks.report(rld->hooks.ctx, &call->report,
+						 err) :
+			       JJ_NOT_FOUND;
+	case PF_LEFT:
+		return rld->hooks.left ? rld->hooks.left(rld->hooks.ctx,
+							 call->report.id) :
+					 JJ_NOT_FOUND;
+	}
+	return JJ_NOT_FOUND;
+}
+
+static void on_call(void *ctx, const struct hts_request *request,
+		    struct hts_answer *answer)
+{
+	struct rld *rld = ctx;
+	struct pf_call call;
+	struct jj_error err = { 0 };
+	enum jj_status status = pf_parse_call(request, &call, &err);
+
+	if (status == JJ_INVALID)
+		log_put(&rld->nod->desc.log->sink, EV_REPORT_REFUSED, "%s",
+			err.message);
+	if (status == JJ_OK)
+		status = serve(rld, &call, answer, &err);
+	answer->code = pf_status_code(status);
+}
+
+/* -- start and finish ---------------------------------------------------- */
+
+void rld_begin(struct rld *rld, const Jj__RegistrySection *settings,
+	       struct nod_desc *node, const struct rld_hooks *hooks)
+{
+	struct reg_desc reg = { .lease_ms = settings->lease_s * 1000,
+				.watch_ms = settings->watch_s * 1000,
+				.log = &node->log->sink };
+	struct jj_error err;
+
+	rld->hooks = *hooks;
+	dmn_must(pf_store_init(&rld->store, settings->address,
+			       settings->timeout_ms, &rld->reg.stopping, &err),
+		 &err);
+	reg.store = pf_store_calls(&rld->store);
+	reg_init(&rld->reg, &reg);
+	node->former_incarnation =
+		reg_former_incarnation(&rld->reg, node->name);
+}
+
+void rld_listen(struct rld *rld, struct nod *nod, const char *ready,
+		const char *heartbeats)
+{
+	struct jj_error err;
+
+	rld->nod = nod;
+	rld->store.met = &nod->met;
+	dmn_must(hts_init(&rld->hts, on_call, rld, &err), &err);
+	if (*ready)
+		dmn_must(hts_listen(&rld->hts, ready, 0, &err), &err);
+	if (*heartbeats)
+		dmn_must(hts_listen(&rld->hts, heartbeats, 1, &err), &err);
+}
+
+void rld_start(struct rld *rld)
+{
+	struct jj_error err;
+
+	dmn_must(hts_start(&rld->hts, &err), &err);
+	dmn_must(reg_start(&rld->reg, rld->nod, &err), &err);
+}
+
+void rld_finish(struct rld *rld)
+{
+	reg_finish(&rld->reg);
+	hts_finish(&rld->hts);
+	pf_store_finish(&rld->store);
+}
--- /dev/null
+++ b/src/core/flow.c
@@ -0,0 +1,670 @@
+#include "flow_internal.h"
+
+#include <string.h>
+#include "jujube/frame.h"
+
+/* -- start and finish ---------------------------------------------------- */
+
+enum jj_status flw_resolve(struct flw_desc *desc, struct jj_error *err)
+{
+	const struct flw_codec *codec = &desc->codec;
+
+	if (!desc->max_flows)
+		desc->max_flows = 2000;
+	if (!desc->flow_ttl_s)
+		desc->flow_ttl_s = 60;
+	if (!*desc->service)
+		return st_fail(err, JJ_INVALID, "agent without a service");
+	if (!desc->met)
+		return st_fail(err, JJ_INVALID, "agent without counters");
+	if (!codec->decode || !codec->reset || !codec->mark ||
+	    !codec->set_mark || !codec->restore)
+		return st_fail(err, JJ_INVALID, "agent without a codec");
+	return JJ_OK;
+}
+
+enum jj_status flw_init(struct flw *flw, const struct flw_desc *desc,
+			uint64_t now)
+{
+	int i;
+
+	memset(flw, 0, sizeof(*flw));
+	flw->desc = *desc;
+	flw->service = rnk_name_id(desc->service);
+	flw->started = now;
+	/* Twice the even share: keys do not spread evenly over few shards. */
+	flw->flow_capacity = desc->max_flows / FLW_SHARDS * 2 + 16;
+	pthread_mutex_init(&flw->target_lock, NULL);
+	pthread_mutex_init(&flw->peer_lock, NULL);
+	for (i = 0; i < FLW_SHARDS; i++) {
+		if (flw_init_shard(&flw->shards[i], flw->flow_capacity)) {
+			flw_finish(flw);
+			return JJ_SYSTEM;
+		}
+	}
+	return JJ_OK;
+}
+
+void flw_finish(struct flw *flw)
+{
+	int i;
+
+	for (i = 0; i < FLW_SHARDS; i++)
+		flw_finish_shard(&flw->shards[i]);
+	pthread_mutex_destroy(&flw->target_lock);
+	pthread_mutex_destroy(&flw->peer_lock);
+}
+
+void flw_stop(struct flw *flw)
+{
+	flw->stopping = 1;
+}
+
+uint64_t flw_key(const struct flw_packet *packet)
+{
+	uint64_t parts[2] = { (uint64_t)packet->caller_ip << 32 |
+				      packet->service_ip,
+			      (uint64_t)packet->caller_port << 16 |
+				      packet->service_port };
+	uint64_t key = rnk_hash(parts, sizeof(parts));
+
+	return key ? key : 1;
+}
+
+/* -- sending ------------------------------------------------------------- */
+
+void flw_forward(const struct flw_work *work, const struct viw_agent *to,
+		 enum flw_mode mode)
+{
+	struct flw *flw = work->call->flw;
+	Jj__Packet packet = *work->packet;
+
+	packet.hops++;
+	packet.mode = mode;
+	packet.to_agent = to->id;
+	packet.to_incarnation = to->incarnation;
+	met_add(flw->desc.met, MET_PASSED_ON, 1);
+	flw->desc.hooks.to_agent(flw->desc.hooks.ctx, work->call->thread, to,
+				 &packet);
+}
+
+void flw_reset_caller(const struct flw_call *call,
+		      const struct flw_packet *packet, uint32_t seq)
+{
+	struct flw *flw = call->flw;
+	uint8_t buf[FLW_OPENING_MAX];
+	size_t len = flw->desc.codec.reset(packet, seq, buf, sizeof(buf));
+
+	met_add(flw->desc.met, MET_RESETS, 1);
+	if (len)
+		flw->desc.hooks.to_caller(flw->desc.hooks.ctx,
+					  packet->caller_ip, buf, len);
+}
+
+static void reset_flow(const struct flw_call *call,
+		       const struct flw_flow *flow, const char *why)
+{
+	struct flw_packet head = { .caller_ip = flow->caller_ip,
+				   .caller_port = flow->caller_port,
+				   .service_ip = flow->service_ip,
+				   .service_port = flow->service_port };
+
+	log_put(call->flw->desc.log, EV_FLOW_RESET,
+		"flow=%08x:%u>%08x:%u state=%d age_ms=%llu why=%s",
+		flow->caller_ip, flow->caller_port, flow->service_ip,
+		flow->service_port, flow->state,
+		(unsigned long long)(call->now - flow->opened) / 1000, why);
+	flw_reset_caller(call, &head, flow->caller_ack);
+}
+
+static void fill_holding(Jj__Holding *item, const struct flw *flw,
+			 const struct flw_flow *flow)
+{
+	jj__holding__init(item);
+	item->flow = flow->key;
+	item->holder = flw->desc.id;
+	item->first = flow->first;
+	item->known = flow->first_known;
+}
+
+static void tell(const struct flw_call *call, uint32_t ip, uint16_t port,
+		 Jj__Holding **items, size_t count)
+{
+	struct flw *flw = call->flw;
+	Jj__Envelope env = JJ__ENVELOPE__INIT;
+	Jj__Holdings holdings = JJ__HOLDINGS__INIT;
+
+	holdings.items = items;
+	holdings.n_items = count;
+	env.body_case = JJ__ENVELOPE__BODY_HOLDINGS;
+	env.holdings = &holdings;
+	flw->desc.hooks.to_process(flw->desc.hooks.ctx, call->thread, ip, port,
+				   &env);
+}
+
+static void tell_home(const struct flw_call *call, struct flw_flow *flow)
+{
+	struct flw *flw = call->flw;
+	const struct viw_service *service =
+		viw_service(call->view, flw->service);
+	const struct viw_agent *home =
+		service ? viw_home(call->view, service, flow->key) : NULL;
+	Jj__Holding item;
+	Jj__Holding *items = &item;
+
+	fill_holding(&item, flw, flow);
+	if (home && home->id != flw->desc.id)
+		tell(call, home->ip, home->data_port, &items, 1);
+}
+
+/* The balancer that the flow's packets come through, once each. */
+static void tell_balancer(const struct flw_call *call, struct flw_flow *flow)
+{
+	Jj__Holding item;
+	Jj__Holding *items = &item;
+
+	if (!flow->via_id || flow->told_via == flow->via_id)
+		return;
+	flow->told_via = flow->via_id;
+	fill_holding(&item, call->flw, flow);
+	tell(call, flow->via_ip, flow->via_port, &items, 1);
+}
+
+/* -- packets of flows that the target does not hold ---------------------- */
+
+static int fits(uint32_t ack, uint32_t first)
+{
+	return ack - first <= FLW_SPAN;
+}
+
+static int holder_fits(const struct flw_exception *e,
+		       const struct flw_packet *head)
+{
+	return !e->first_known || !head->acknowledges ||
+	       fits(head->ack, e->first);
+}
+
+/*
+ * The target of an agent that was started lately may hold flows that the
+ * agent does not know. Each is tried there once; it comes back when not held.
+ */
+static int try_target(const struct flw_work *work)
+{
+	const struct flw_call *call = work->call;
+	struct flw *flw = call->flw;
+	struct flw_exception *known =
+		flw_exception(work->shard, work->packet->flow);
+	struct flw_exception none = { .key = work->packet->flow,
+				      .at = call->now };
+	uint8_t buf[FRM_MAX_DATAGRAM];
+
+	if (call->now > flw->started + flw->desc.flow_ttl_s * 1000000ull ||
+	    known || work->packet->data.len > sizeof(buf))
+		return 0;
+	flw_put_exception(work->shard, &none);
+	memcpy(buf, work->packet->data.data, work->packet->data.len);
+	flw->desc.codec.set_mark(buf, work->packet->hops + 1);
+	met_add(flw->desc.met, MET_TRIED, 1);
+	flw->desc.hooks.to_target(flw->desc.hooks.ctx, buf,
+				  work->packet->data.len);
+	return 1;
+}
+
+/* The agent after this one in the circle of the service. */
+static const struct viw_agent *next_agent(const struct flw_work *work)
+{
+	const struct viw *view = work->call->view;
+	uint32_t at = (uint32_t)(work->me - view->agents) + 1;
+
+	if (at == work->service->first + work->service->count)
+		at = work->service->first;
+	return &view->agents[at];
+}
+
+/* Goes on around the service; visited counts the agents that had it. */
+static void search_on(const struct flw_work *work, uint32_t visited)
+{
+	const struct viw_agent *next = next_agent(work);
+	Jj__Packet packet = *work->packet;
+	struct flw_work search = *work;
+
+	packet.hops = visited;
+	search.packet = &packet;
+	if (visited + 1 < work->service->count && visited < FLW_SEARCH_MAX &&
+	    next != work->me) {
+		flw_forward(&search, next, FLW_SEARCH);
+		return;
+	}
+	met_add(work->call->flw->desc.met, MET_UNHELD, 1);
+	log_put(work->call->flw->desc.log, EV_FLOW_UNHELD,
+		"flow=%08x:%u>%08x:%u ack=%u visited=%u revision=%llu",
+		work->head.caller_ip, work->head.caller_port,
+		work->head.service_ip, work->head.service_port, work->head.ack,
+		visited, (unsigned long long)work->call->view->revision);
+}
+
+static void on_unheld(const struct flw_work *work)
+{
+	const struct viw *view = work->call->view;
+	const Jj__Packet *packet = work->packet;
+	struct flw_exception *e = flw_exception(work->shard, packet->flow);
+	const struct viw_agent *holder =
+		e && e->holder ? viw_agent(view, e->holder) : NULL;
+
+	if (packet->mode == FLW_SEARCH) {
+		if (!try_target(work))
+			search_on(work, packet->hops);
+		return;
+	}
+	if (holder && holder != work->me && holder_fits(e, &work->head) &&
+	    packet->mode == FLW_FIRST) {
+		met_add(work->call->flw->desc.met, MET_EXCEPTION_HITS, 1);
+		flw_forward(work, holder, FLW_HELD);
+		return;
+	}
+	if (!try_target(work))
+		search_on(work, 0);
+}
+
+/* -- packets of callers -------------------------------------------------- */
+
+static void note_path(struct flw_flow *flow, const struct flw_work *work)
+{
+	flow->seen = work->call->now;
+	flow->via_id = work->packet->via_id;
+	flow->via_ip = work->packet->via_ip;
+	flow->via_port = (uint16_t)work->packet->via_port;
+}
+
+static int flow_fits(const struct flw_flow *flow, const struct flw_packet *head)
+{
+	if (head->resets || !head->acknowledges)
+		return 1;
+	/* Adopted: the target was seen to hold it, but not its start. */
+	if (!flow->first_known)
+		return flow->state >= FLW_OPEN;
+	return fits(head->ack, flow->first);
+}
+
+static void deliver(const struct flw_work *work, struct flw_flow *flow)
+{
+	const struct flw_packet *head = &work->head;
+	struct flw *flw = work->call->flw;
+
+	note_path(flow, work);
+	if (flow->state == FLW_ANSWERED) {
+		flow->state = FLW_OPEN;
+		flow->opening_len = 0;
+	}
+	if (head->acknowledges)
+		flow->caller_ack = head->ack;
+	if (head->payload &&
+	    (int32_t)(head->seq + head->payload - flow->caller_next) > 0) {
+		flow->caller_next = head->seq + head->payload;
+		flw_begin_work(flw, flow, work->call->now);
+	}
+	flow->caller_closed |= head->closes;
+	if (head->resets) {
+		flow->state = FLW_CLOSED;
+		flw_end_work(flw, flow);
+	}
+	met_add(flw->desc.met, MET_DELIVERED, 1);
+	flw->desc.hooks.to_target(flw->desc.hooks.ctx, work->packet->data.data,
+				  work->packet->data.len);
+	tell_balancer(work->call, flow);
+}
+
+/* A copy of an opening that the target has, or a new flow on old ports. */
+static int on_known_opening(const struct flw_work *work, struct flw_flow *flow)
+{
+	struct flw *flw = work->call->flw;
+
+	if (flow->state == FLW_CLOSED ||
+	    (flow->state == FLW_OPEN && !work->head.repeat &&
+	     work->head.seq + 1 != flow->caller_next)) {
+		flw_release(flw, work->shard, flow);
+		return 0;
+	}
+	note_path(flow, work);
+	flw->desc.hooks.to_target(flw->desc.hooks.ctx, work->packet->data.data,
+				  work->packet->data.len);
+	tell_balancer(work->call, flow);
+	return 1;
+}
+
+/*
+ * A repeated opening says that the agent which was chosen for it, or its
+ * target, does not answer. It keeps it while it may be answering just now.
+ */
+static void place_at_home(const struct flw_work *work)
+{
+	struct flw_exception *e =
+		flw_exception(work->shard, work->packet->flow);
+	const struct viw_agent *holder;
+	Jj__Packet packet = *work->packet;
+	struct flw_work again = *work;
+	uint64_t tried[FLW_TRIED_MAX];
+
+	if (!e || !e->holder || !work->head.repeat) {
+		flw_place(work);
+		return;
+	}
+	holder = viw_agent(work->call->view, e->holder);
+	if (holder && holder != work->me &&
+	    (e->first_known || work->call->now < e->at + FLW_ANSWER_US)) {
+		flw_forward(work, holder, FLW_HELD);
+		return;
+	}
+	tried[0] = e->holder;
+	packet.tried = tried;
+	packet.n_tried = 1;
+	again.packet = &packet;
+	flw_place(&again);
+}
+
+static void on_opening(const struct flw_work *work, struct flw_flow *flow)
+{
+	if (flow && on_known_opening(work, flow))
+		return;
+	if (!viw_leads_to(work->call->view, work->head.service_ip,
+			  work->head.service_port, work->service, 0)) {
+		met_add(work->call->flw->desc.met, MET_WRONG_SERVICE, 1);
+		log_put(work->call->flw->desc.log, EV_WRONG_SERVICE,
+			"flow=%08x:%u>%08x:%u revision=%llu",
+			work->head.caller_ip, work->head.caller_port,
+			work->head.service_ip, work->head.service_port,
+			(unsigned long long)work->call->view->revision);
+		return;
+	}
+	if (work->packet->mode == FLW_FIRST)
+		place_at_home(work);
+	else if (work->packet->mode == FLW_PLACED)
+		flw_open_or_pass(work);
+	/* Else a copy for a holder that has forgotten it: the caller repeats. */
+}
+
+void flw_from_fleet(const struct flw_call *call, const Jj__Packet *packet)
+{
+	struct flw *flw = call->flw;
+	struct flw_work work = { .call = call, .packet = packet };
+	struct flw_flow *flow;
+
+	work.me = viw_agent(call->view, flw->desc.id);
+	work.service = viw_service(call->view, flw->service);
+	if (packet->service != flw->service) {
+		met_add(flw->desc.met, MET_WRONG_SERVICE, 1);
+		return;
+	}
+	if (!work.me || !work.service || packet->hops > FLW_SEARCH_MAX) {
+		met_add(flw->desc.met, MET_NO_TARGET, 1);
+		return;
+	}
+	if (flw->desc.codec.decode(packet->data.data, packet->data.len, 0,
+				   &work.head) != JJ_OK) {
+		met_add(flw->desc.met, MET_BAD_FRAME, 1);
+		return;
+	}
+	work.shard = flw_shard_of(flw, packet->flow);
+	pthread_mutex_lock(&work.shard->lock);
+	flow = flw_find(work.shard, packet->flow);
+	if (work.head.opens)
+		on_opening(&work, flow);
+	else if (flow && flow_fits(flow, &work.head))
+		deliver(&work, flow);
+	else
+		on_unheld(&work);
+	pthread_mutex_unlock(&work.shard->lock);
+}
+
+/* -- packets of the target ----------------------------------------------- */
+
+/* The target sends on a flow that a former life of this agent opened. */
+static struct flw_flow *adopt(const struct flw_call *call,
+			      struct flw_shard *shard, uint64_t key,
+			      const struct flw_packet *head)
+{
+	struct flw_flow *flow = flw_take(call->flw, shard, key, call->now);
+
+	if (!flow)
+		return NULL;
+	flow->state = FLW_OPEN;
+	flow->caller_ip = head->caller_ip;
+	flow->caller_port = head->caller_port;
+	flow->service_ip = head->service_ip;
+	flow->service_port = head->service_port;
+	flow->caller_next = head->ack;
+	met_add(call->flw->desc.met, MET_ADOPTED, 1);
+	tell_home(call, flow);
+	return flow;
+}
+
+static void note_sent(const struct flw_call *call, struct flw_flow *flow,
+		      const struct flw_packet *head)
+{
+	struct flw *flw = call->flw;
+
+	flow->seen = call->now;
+	flow->target_closed |= head->closes;
+	if (head->opens && flow->state == FLW_OPENING) {
+		flow->state = FLW_ANSWERED;
+		flow->first = head->seq;
+		flow->first_known = 1;
+		tell_balancer(call, flow);
+		tell_home(call, flow);
+	}
+	if (head->payload || head->closes || head->resets)
+		flw_end_work(flw, flow);
+	if (head->resets || (flow->caller_closed && flow->target_closed))
+		flow->state = FLW_CLOSED;
+}
+
+/* The target has forgotten a flow that it held: it was started anew. */
+static void on_forgotten(const struct flw_call *call, struct flw_shard *shard,
+			 struct flw_flow *flow)
+{
+	if (flow->state != FLW_CLOSED)
+		reset_flow(call, flow, "target has forgotten it");
+	flw_release(call->flw, shard, flow);
+}
+
+/* A trial of an agent that was started lately: the search goes on. */
+static void on_not_held(const struct flw_call *call, struct flw_shard *shard,
+			uint64_t key, const struct flw_packet *head,
+			uint8_t *data, size_t len)
+{
+	struct flw *flw = call->flw;
+	uint32_t mark = flw->desc.codec.mark(data);
+	Jj__Packet packet = JJ__PACKET__INIT;
+	struct flw_work work = { .call = call,
+				 .shard = shard,
+				 .packet = &packet,
+				 .head = *head,
+				 .service = viw_service(call->view,
+							flw->service),
+				 .me = viw_agent(call->view, flw->desc.id) };
+
+	if (!mark || !work.service || !work.me)
+		return;
+	flw->desc.codec.restore(data);
+	packet.service = flw->service;
+	packet.caller_ip = head->caller_ip;
+	packet.caller_port = head->caller_port;
+	packet.flow = key;
+	packet.data.data = data;
+	packet.data.len = len;
+	search_on(&work, mark - 1);
+}
+
+static void on_returned(const struct flw_call *call, struct flw_shard *shard,
+			uint64_t key, const struct flw_packet *head,
+			uint8_t *data, size_t len)
+{
+	struct flw_flow *flow = flw_find(shard, key);
+
+	met_add(call->flw->desc.met, MET_RETURNED, 1);
+	if (head->opens) {
+		if (flow && flow->state == FLW_OPENING)
+			flw_place_again(call, shard, flow, 1);
+		return;
+	}
+	if (!flow)
+		on_not_held(call, shard, key, head, data, len);
+	else if (flow_fits(flow, head))
+		on_forgotten(call, shard, flow);
+}
+
+void flw_from_target(const struct flw_call *call, uint8_t *data, size_t len)
+{
+	struct flw *flw = call->flw;
+	struct flw_packet head;
+	struct flw_shard *shard;
+	struct flw_flow *flow;
+	uint64_t key;
+
+	if (flw->desc.codec.decode(data, len, 1, &head) != JJ_OK) {
+		met_add(flw->desc.met, MET_BAD_FRAME, 1);
+		return;
+	}
+	key = flw_key(&head);
+	shard = flw_shard_of(flw, key);
+	pthread_mutex_lock(&shard->lock);
+	if (head.returned) {
+		on_returned(call, shard, key, &head, data, len);
+		pthread_mutex_unlock(&shard->lock);
+		return;
+	}
+	flow = flw_find(shard, key);
+	if (!flow && !head.opens && !head.resets)
+		flow = adopt(call, shard, key, &head);
+	if (flow)
+		note_sent(call, flow, &head);
+	pthread_mutex_unlock(&shard->lock);
+	flw_note_answer(flw);
+	met_add(flw->desc.met, MET_ANSWERED, 1);
+	flw->desc.hooks.to_caller(flw->desc.hooks.ctx, head.caller_ip, data,
+				  len);
+}
+
+/* -- what others hold ---------------------------------------------------- */
+
+void flw_on_holdings(const struct flw_call *call, const Jj__Holdings *holdings)
+{
+	struct flw *flw = call->flw;
+	size_t i;
+
+	for (i = 0; i < holdings->n_items; i++) {
+		const Jj__Holding *item = holdings->items[i];
+		struct flw_shard *shard = flw_shard_of(flw, item->flow);
+		struct flw_exception e = { .key = item->flow,
+					   .holder = item->holder,
+					   .first = item->first,
+					   .first_known = item->known,
+					   .at = call->now };
+
+		pthread_mutex_lock(&shard->lock);
+		flw_put_exception(shard, &e);
+		pthread_mutex_unlock(&shard->lock);
+	}
+}
+
+void flw_view_changed(const struct flw_call *call)
+{
+	struct flw *flw = call->flw;
+	const struct viw_service *service =
+		viw_service(call->view, flw->service);
+	uint32_t i;
+
+	if (!service || service->digest == flw->digest)
+		return;
+	flw->digest = service->digest;
+	for (i = 0; i < FLW_SHARDS; i++) {
+		struct flw_shard *shard = &flw->shards[i];
+		uint32_t j;
+
+		pthread_mutex_lock(&shard->lock);
+		for (j = 0; j < shard->flow_high; j++) {
+			struct flw_flow *flow = &shard->flows[j];
+
+			if (flow->key && (flow->state == FLW_ANSWERED ||
+					  flow->state == FLW_OPEN))
+				tell_home(call, flow);
+		}
+		pthread_mutex_unlock(&shard->lock);
+	}
+}
+
+/* -- time ---------------------------------------------------------------- */
+
+static uint64_t idle_limit(const struct flw_call *call)
+{
+	const struct viw_service *service =
+		viw_service(call->view, call->flw->service);
+	uint64_t limit = call->flw->desc.flow_ttl_s * 1000000ull;
+
+	if (service && service->flow_idle_ms)
+		limit = service->flow_idle_ms * 1000ull;
+	return limit + FLW_HALF_OPEN_US;
+}
+
+/* Its tombstone is known, and nothing took its place. */
+static int route_removed(const struct flw_call *call,
+			 const struct flw_flow *flow)
+{
+	const struct viw_service *service =
+		viw_service(call->view, call->flw->service);
+
+	return service &&
+	       viw_leads_to(call->view, flow->service_ip, flow->service_port,
+			    service, 1) &&
+	       !viw_route(call->view, flow->service_ip, flow->service_port,
+			  flow->key);
+}
+
+static void check_flow(const struct flw_call *call, struct flw_shard *shard,
+		       struct flw_flow *flow, uint64_t idle_us)
+{
+	struct flw *flw = call->flw;
+	uint64_t quiet = call->now - flow->seen;
+
+	if (flow->state == FLW_OPENING &&
+	    call->now > flow->opened + FLW_ANSWER_US) {
+		flw_note_unanswered(flw, call->now);
+		flw_place_again(call, shard, flow, 0);
+		return;
+	}
+	if ((flow->state == FLW_ANSWERED && quiet > FLW_HALF_OPEN_US) ||
+	    (flow->state == FLW_CLOSED && quiet > FLW_CLOSED_US) ||
+	    quiet > idle_us) {
+		met_add(flw->desc.met, MET_FLOWS_CLOSED, 1);
+		flw_release(flw, shard, flow);
+		return;
+	}
+	if (route_removed(call, flow)) {
+		if (flow->state != FLW_CLOSED)
+			reset_flow(call, flow, "its route was removed");
+		flw_release(flw, shard, flow);
+	}
+}
+
+void flw_tick(const struct flw_call *call)
+{
+	struct flw *flw = call->flw;
+	uint64_t idle_us = idle_limit(call);
+	uint32_t i;
+
+	flw_report_load(call);
+	if (call->now < flw->next_tick)
+		return;
+	flw->next_tick = call->now + FLW_TICK_US;
+	for (i = 0; i < FLW_SHARDS; i++) {
+		struct flw_shard *shard = &flw->shards[i];
+		uint32_t j;
+
+		pthread_mutex_lock(&shard->lock);
+		for (j = 0; j < shard->flow_high; j++)
+			if (shard->flows[j].key)
+				check_flow(call, shard, &shard->flows[j],
+					   idle_us);
+		pthread_mutex_unlock(&shard->lock);
+	}
+}
--- /dev/null
+++ b/src/core/flow_internal.h
@@ -0,0 +1,65 @@
+#ifndef JUJUBE_FLOW_INTERNAL_H
+#define JUJUBE_FLOW_INTERNAL_H
+
+#include "jujube/flow.h"
+
+/* How the agent that gets a packet is to treat it. */
+enum flw_mode {
+	FLW_FIRST, /* from a balancer, to the flow's home */
+	FLW_PLACED, /* an opening, chosen for this agent's target */
+	FLW_HELD, /* to the agent that is said to hold it */
+	FLW_SEARCH, /* on its way around the service */
+};
+
+/* One packet being worked on, with its shard locked. */
+struct flw_work {
+	const struct flw_call *call;
+	struct flw_shard *shard;
+	const Jj__Packet *packet;
+	struct flw_packet head;
+	const struct viw_service *service;
+	const struct viw_agent *me;
+};
+
+/* flow_table.c: flows and exceptions of one shard */
+enum jj_status flw_init_shard(struct flw_shard *shard, uint32_t capacity);
+void flw_finish_shard(struct flw_shard *shard);
+struct flw_shard *flw_shard_of(struct flw *flw, uint64_t key);
+struct flw_flow *flw_find(struct flw_shard *shard, uint64_t key);
+/* Null: no room. */
+struct flw_flow *flw_take(struct flw *flw, struct flw_shard *shard,
+			  uint64_t key, uint64_t now);
+void flw_release(struct flw *flw, struct flw_shard *shard,
+		 struct flw_flow *flow);
+struct flw_exception *flw_exception(struct flw_shard *shard, uint64_t key);
+void flw_put_exception(struct flw_shard *shard, const struct flw_exception *e);
+/* Work begins or ends at the target. */
+void flw_begin_work(struct flw *flw, struct flw_flow *flow, uint64_t now);
+void flw_end_work(struct flw *flw, struct flw_flow *flow);
+
+/* flow_place.c: what the target can take, and who else can */
+void flw_place(const struct flw_work *work);
+/* Opens it here, when the target may take it, else passes it on. */
+void flw_open_or_pass(const struct flw_work *work);
+/* The opening packet of a flow that the target did not answer goes on. */
+void flw_place_again(const struct flw_call *call, struct flw_shard *shard,
+		     struct flw_flow *flow, int returned);
+void flw_report_load(const struct flw_call *call);
+void flw_note_answer(struct flw *flw);
+
+/* flow_target.c */
+/* Why the target may not be given a flow now, or null. */
+const char *flw_cannot_open(struct flw *flw, const struct viw_service *service,
+			    const struct viw_agent *me, uint64_t now);
+uint32_t flw_cap(struct flw *flw, const struct viw_service *service,
+		 uint64_t now);
+void flw_note_opening(struct flw *flw, uint64_t now);
+void flw_note_unanswered(struct flw *flw, uint64_t now);
+
+/* flow.c */
+void flw_forward(const struct flw_work *work, const struct viw_agent *to,
+		 enum flw_mode mode);
+void flw_reset_caller(const struct flw_call *call,
+		      const struct flw_packet *packet, uint32_t seq);
+
+#endif
--- /dev/null
+++ b/src/core/relay.c
@@ -0,0 +1,173 @@
+#include "jujube/relay.h"
+
+#include <string.h>
+
+enum jj_status rly_init(struct rly *rly, const struct rt_desc *desc)
+{
+	memset(rly, 0, sizeof(*rly));
+	pthread_mutex_init(&rly->lock, NULL);
+	return rt_init(&rly->rt, desc);
+}
+
+void rly_finish(struct rly *rly)
+{
+	rt_finish(&rly->rt);
+	pthread_mutex_destroy(&rly->lock);
+}
+
+/* -- homes that lose openings -------------------------------------------- */
+
+/* Lock held; null: none, or no room for one more. */
+static struct rly_suspect *find_suspect(struct rly *rly, uint64_t agent,
+					int make)
+{
+	struct rly_suspect *unused = NULL;
+	int i;
+
+	for (i = 0; i < RLY_SUSPECTS; i++) {
+		if (rly->suspects[i].agent == agent)
+			return &rly->suspects[i];
+		if (!unused && !rly->suspects[i].agent)
+			unused = &rly->suspects[i];
+	}
+	if (make && unused)
+		*unused = (struct rly_suspect){ .agent = agent };
+	return make ? unused : NULL;
+}
+
+static void blame(struct rly *rly, uint64_t agent, uint64_t now_ms)
+{
+	struct rly_suspect *suspect;
+
+	pthread_mutex_lock(&rly->lock);
+	suspect = find_suspect(rly, agent, 1);
+	if (suspect && ++suspect->strikes >= RLY_STRIKES)
+		suspect->until_ms = now_ms + RLY_AVOID_MS;
+	pthread_mutex_unlock(&rly->lock);
+}
+
+static void clear(struct rly *rly, uint64_t agent)
+{
+	struct rly_suspect *suspect;
+
+	pthread_mutex_lock(&rly->lock);
+	suspect = find_suspect(rly, agent, 0);
+	if (suspect)
+		suspect->agent = 0;
+	pthread_mutex_unlock(&rly->lock);
+}
+
+static int avoided(struct rly *rly, uint64_t agent, uint64_t now_ms)
+{
+	struct rly_suspect *suspect;
+	int result;
+
+	pthread_mutex_lock(&rly->lock);
+	suspect = find_suspect(rly, agent, 0);
+	result = suspect && now_ms < suspect->until_ms;
+	pthread_mutex_unlock(&rly->lock);
+	return result;
+}
+
+/* -- decision ------------------------------------------------------------ */
+
+/* The home of the given rank among those that are not avoided. */
+static const struct viw_agent *home_of_rank(struct rly *rly,
+					    const struct viw *view,
+					    const struct viw_service *service,
+					    uint64_t key, uint64_t now_ms,
+					    unsigned rank)
+{
+	int homes[RLY_HOMES];
+	int count = viw_homes(view, service, key, homes, RLY_HOMES);
+	const struct viw_agent *last = NULL;
+	int i;
+
+	for (i = 0; i < count; i++) {
+		const struct viw_agent *agent = &view->agents[homes[i]];
+
+		if (i + 1 < count && avoided(rly, agent->id, now_ms))
+			continue;
+		last = agent;
+		if (!rank--)
+			break;
+	}
+	return last;
+}
+
+static enum jj_status to_home(struct rly *rly, const struct viw *view,
+			      uint64_t key, uint64_t now_ms, unsigned rank,
+			      struct rly_choice *choice)
+{
+	choice->agent = home_of_rank(rly, view, choice->service, key, now_ms,
+				     rank);
+	return choice->agent ? JJ_OK : JJ_UNAVAILABLE;
+}
+
+static enum jj_status pick_for_opening(struct rly *rly, const struct viw *view,
+				       const struct flw_packet *packet,
+				       uint64_t key, uint64_t now_ms,
+				       const struct viw_agent *holder,
+				       struct rly_choice *choice)
+{
+	choice->service =
+		viw_route(view, packet->service_ip, packet->service_port, key);
+	if (!choice->service)
+		return JJ_NOT_FOUND;
+	if (packet->repeat && holder &&
+	    &view->services[holder->service] == choice->service &&
+	    packet->repeat < 2) {
+		choice->agent = holder;
+		choice->cached = 1;
+		return JJ_OK;
+	}
+	if (packet->repeat == 1) {
+		const struct viw_agent *home =
+			viw_home(view, choice->service, key);
+
+		if (home)
+			blame(rly, home->id, now_ms);
+	}
+	return to_home(rly, view, key, now_ms, packet->repeat ? 1 : 0, choice);
+}
+
+enum jj_status rly_pick(struct rly *rly, const struct viw *view,
+			const struct flw_packet *packet, uint64_t key,
+			uint64_t now_ms, struct rly_choice *choice)
+{
+	uint64_t id = rt_holder(&rly->rt, key, now_ms);
+	const struct viw_agent *holder = id ? viw_agent(view, id) : NULL;
+
+	*choice = (struct rly_choice){ 0 };
+	if (packet->opens)
+		return pick_for_opening(rly, view, packet, key, now_ms, holder,
+					choice);
+	if (holder) {
+		choice->agent = holder;
+		choice->service = &view->services[holder->service];
+		choice->cached = 1;
+		return JJ_OK;
+	}
+	choice->service =
+		viw_route(view, packet->service_ip, packet->service_port, key);
+	if (!choice->service)
+		choice->service = viw_former(view, packet->service_ip,
+					     packet->service_port, NULL);
+	if (!choice->service)
+		return JJ_NOT_FOUND;
+	return to_home(rly, view, key, now_ms, 0, choice);
+}
+
+void rly_learn(struct rly *rly, const struct viw *view, uint64_t key,
+	       uint64_t holder, uint64_t now_ms)
+{
+	const struct viw_agent *agent = viw_agent(view, holder);
+	const struct viw_agent *home =
+		agent ? viw_home(view, &view->services[agent->service], key) :
+			NULL;
+
+	rt_learn(&rly->rt, key, holder, now_ms);
+	clear(rly, holder);
+	if (home)
+		clear(rly, home->id);
+}
--- a/src/core/route.c
+++ b/src/core/route.c
@@ -69,8 +69,9 @@
 	return now_s < entry->seen_s + rt->desc.flow_idle_s;
 }
 
-static uint64_t cached_holder(struct rt *rt, uint64_t key, uint32_t now_s)
+uint64_t rt_holder(struct rt *rt, uint64_t key, uint64_t now_ms)
 {
+	uint32_t now_s = (uint32_t)(now_ms / 1000);
 	struct rt_shard *shard = shard_of(rt, key);
 	uint64_t holder = 0;
 	struct rt_entry *set;
@@ -131,7 +132,7 @@
 		       const struct viw_service *service, uint64_t key,
 		       uint64_t now_ms, struct rt_choice *choice)
 {
-	uint64_t holder = cached_holder(rt, key, (uint32_t)(now_ms / 1000));
+	uint64_t holder = rt_holder(rt, key, now_ms);
 	const struct viw_agent *agent = holder ? viw_agent(view, holder) : NULL;
 
 	choice->cached = 1;
--- a/src/core/settings.c
+++ b/src/core/settings.c
@@ -40,6 +40,9 @@
 	{ "fleet", "probe_ms", FORM_NUMBER, 50, 10000 },
 	{ "fleet", "suspect_ms", FORM_NUMBER, 100, 60000 },
 	{ "fleet", "gossip_ms", FORM_NUMBER, 20, 10000 },
+	{ "fleet", "members_max", FORM_NUMBER, 64, 1000000 },
+	{ "fleet", "rows_max", FORM_NUMBER, 64, 1000000 },
+	{ "fleet", "lanes_max", FORM_NUMBER, 1024, 1000000 },
 	{ "platform", "url", FORM_TEXT, 8, 200 },
 	{ "platform", "table_key", FORM_TEXT, 1, 200 },
 	{ "platform", "timeout_ms", FORM_NUMBER, 50, 60000 },
@@ -66,6 +69,22 @@
 	{ "target", "ledger", FORM_NUMBER, 64, 4000000 },
 	{ "target", "drain_s", FORM_NUMBER, 0, 3600 },
 	{ "target", "health_ms", FORM_NUMBER, 50, 60000 },
+	{ "ingress", "address", FORM_ADDRESS, 0, 0 },
+	{ "ingress", "ready", FORM_ADDRESS, 0, 0 },
+	{ "ingress", "callers", FORM_ADDRESS, 0, 0 },
+	{ "ingress", "max_flows", FORM_NUMBER, 1000, 16000000 },
+	{ "ingress", "drain_ms", FORM_NUMBER, 0, 600000 },
+	{ "egress", "address", FORM_ADDRESS, 0, 0 },
+	{ "egress", "ready", FORM_ADDRESS, 0, 0 },
+	{ "egress", "heartbeats", FORM_ADDRESS, 0, 0 },
+	{ "egress", "callers", FORM_ADDRESS, 0, 0 },
+	{ "egress", "heartbeat_ms", FORM_NUMBER, 50, 60000 },
+	{ "egress", "flow_ttl_s", FORM_NUMBER, 1, 604800 },
+	{ "egress", "drain_ms", FORM_NUMBER, 0, 600000 },
+	{ "registry", "address", FORM_ADDRESS, 0, 0 },
+	{ "registry", "lease_s", FORM_NUMBER, 2, 600 },
+	{ "registry", "watch_s", FORM_NUMBER, 1, 30 },
+	{ "registry", "timeout_ms", FORM_NUMBER, 50, 60000 },
 	{ "log", "level", FORM_LEVEL, 0, 0 },
 	{ "operator", "admin", FORM_ADDRESSES, 0, 0 },
 	{ "operator", "token", FORM_TEXT, 8, 200 },
@@ -331,11 +350,17 @@
 	unsigned j;
 
 	for (i = 0; i < type->n_fields; i++) {
+		ProtobufCMessage **given =
+			member_at(settings, type->fields[i].offset);
+		int absent = !*given;
 		ProtobufCMessage *section =
 			obtain_section(settings, type->fields[i].name);
 
 		if (!section)
 			return st_fail(err, JJ_SYSTEM, "out of memory");
+		if (absent &&
+		    type->fields[i].label == PROTOBUF_C_LABEL_OPTIONAL)
+			continue;
 		for (j = 0; j < section->descriptor->n_fields; j++) {
 			const ProtobufCFieldDescriptor *field =
 				&section->descriptor->fields[j];
--- a/src/core/table.c
+++ b/src/core/table.c
@@ -145,7 +145,7 @@
 	uint16_t port;
 
 	if (row->kind < JJ__KIND__KIND_SERVICE ||
-	    row->kind > JJ__KIND__KIND_TARGET)
+	    row->kind > JJ__KIND__KIND_ROUTE)
 		return st_fail(err, JJ_INVALID, "unknown kind %d", row->kind);
 	if (!plain_name(row->name))
 		return st_fail(err, JJ_INVALID,
@@ -166,8 +166,14 @@
 	    !plain_name(row->service))
 		return st_fail(err, JJ_INVALID, "%s: bad service name '%.80s'",
 			       row->name, row->service);
-	if (row->kind == JJ__KIND__KIND_SERVICE &&
-	    row->state != JJ__ROW_STATE__STATE_REMOVED)
+	if (row->kind == JJ__KIND__KIND_ROUTE && !plain_name(row->service))
+		return st_fail(err, JJ_INVALID, "%s: bad service name '%.80s'",
+			       row->name, row->service);
+	if (row->state == JJ__ROW_STATE__STATE_REMOVED)
+		return JJ_OK;
+	/* A service without an address of its own is reached by routes. */
+	if (row->kind == JJ__KIND__KIND_ROUTE ||
+	    (row->kind == JJ__KIND__KIND_SERVICE && *row->address))
 		return tbl_parse_address(row->address, &ip, &port, err);
 	return JJ_OK;
 }
@@ -180,7 +186,7 @@
 	uint32_t i;
 
 	if (row->kind != JJ__KIND__KIND_SERVICE ||
-	    row->state == JJ__ROW_STATE__STATE_REMOVED)
+	    row->state == JJ__ROW_STATE__STATE_REMOVED || !*row->address)
 		return JJ_OK;
 	assert(tbl->rows);
 	for (i = 0; i < tbl->count; i++) {
@@ -210,6 +216,8 @@
 	row->slots = msg->slots;
 	row->max_flows = msg->max_flows;
 	row->cold_slots = msg->cold_slots;
+	row->cold_per_ks = msg->cold_per_ks;
+	row->flow_idle_ms = msg->flow_idle_ms;
 	row->state = msg->state;
 	row->revision = msg->revision;
 	snprintf(row->who, sizeof(row->who), "%s", msg->who);
@@ -229,6 +237,8 @@
 	msg->slots = row->slots;
 	msg->max_flows = row->max_flows;
 	msg->cold_slots = row->cold_slots;
+	msg->cold_per_ks = row->cold_per_ks;
+	msg->flow_idle_ms = row->flow_idle_ms;
 	msg->state = row->state;
 	msg->revision = row->revision;
 	msg->who = row->who;
@@ -377,6 +387,110 @@
 	return JJ_OK;
 }
 
+/* -- rows by source ------------------------------------------------------ */
+
+static int same_content(const struct tbl_row *a, const struct tbl_row *b)
+{
+	return !strcmp(a->service, b->service) &&
+	       !strcmp(a->address, b->address) && a->weight == b->weight &&
+	       a->slots == b->slots && a->max_flows == b->max_flows &&
+	       a->cold_slots == b->cold_slots &&
+	       a->cold_per_ks == b->cold_per_ks &&
+	       a->flow_idle_ms == b->flow_idle_ms && a->state == b->state &&
+	       !strcmp(a->change_id, b->change_id);
+}
+
+static enum jj_status check_rows(const struct tbl *tbl,
+				 const struct tbl_row *rows, uint32_t count,
+				 struct jj_error *err)
+{
+	uint32_t fresh = 0;
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		if (tbl_check_row(&rows[i], err) != JJ_OK)
+			return JJ_INVALID;
+		fresh += !find_row(tbl, rows[i].kind, rows[i].name);
+	}
+	if (tbl->count + fresh > tbl->capacity)
+		return st_fail(err, JJ_FULL, "table has over %u rows",
+			       tbl->capacity);
+	return JJ_OK;
+}
+
+static uint32_t remove_row(struct tbl_row *row, uint64_t revision)
+{
+	if (row->state == JJ__ROW_STATE__STATE_REMOVED ||
+	    row->revision >= revision)
+		return 0;
+	row->state = JJ__ROW_STATE__STATE_REMOVED;
+	row->revision = revision;
+	return 1;
+}
+
+enum jj_status tbl_replace(struct tbl *tbl, const char *source,
+			   const struct tbl_row *rows, uint32_t count,
+			   uint64_t revision, uint32_t *changed,
+			   struct jj_error *err)
+{
+	enum jj_status status = check_rows(tbl, rows, count, err);
+	uint8_t *named;
+	uint32_t i;
+
+	*changed = 0;
+	if (status != JJ_OK)
+		return status;
+	named = calloc(tbl->capacity, 1);
+	if (!named)
+		return st_fail(err, JJ_SYSTEM, "out of memory");
+	for (i = 0; i < count; i++) {
+		struct tbl_row *held =
+			obtain_row(tbl, rows[i].kind, rows[i].name);
+		struct tbl_row row = rows[i];
+
+		assert(held);
+		named[held - tbl->rows] = 1;
+		snprintf(row.change_id, sizeof(row.change_id), "%s", source);
+		row.revision = revision;
+		if (held->revision >= revision || same_content(&row, held))
+			continue;
+		*held = row;
+		++*changed;
+	}
+	for (i = 0; i < tbl->count; i++)
+		if (!named[i] && !strcmp(tbl->rows[i].change_id, source))
+			*changed += remove_row(&tbl->rows[i], revision);
+	free(named);
+	return JJ_OK;
+}
+
+uint32_t tbl_keep_sources(struct tbl *tbl, const char *const *sources,
+			  uint32_t count, uint64_t revision)
+{
+	uint32_t changed = 0;
+	uint32_t i;
+
+	for (i = 0; i < tbl->count; i++) {
+		uint32_t j = 0;
+
+		while (j < count &&
+		       strncmp(sources[j], tbl->rows[i].change_id,
+			       sizeof(tbl->rows[i].change_id) - 1) != 0)
+			j++;
+		if (j == count)
+			changed += remove_row(&tbl->rows[i], revision);
+	}
+	return changed;
+}
+
+void tbl_advance(struct tbl *tbl, uint64_t revision)
+{
+	if (revision > tbl->revision)
+		tbl->revision = revision;
+}
+
+/* -- changes of operators ------------------------------------------------ */
+
 static void overlay(struct tbl_row *row, const struct tbl_edit *edit)
 {
 	const struct tbl_row *set = &edit->row;
--- a/src/core/table_csv.c
+++ b/src/core/table_csv.c
@@ -14,7 +14,8 @@
 };
 #define COLUMNS (sizeof(columns) / sizeof(columns[0]))
 
-static const char *const kinds[] = { "", "service", "data-centre", "target" };
+static const char *const kinds[] = { "", "service", "data-centre", "target",
+				     "route" };
 static const char *const states[] = { "in", "draining", "out", "removed" };
 
 /* -- names --------------------------------------------------------------- */
--- a/src/core/view.c
+++ b/src/core/view.c
@@ -46,7 +46,10 @@
 		service = &view->services[view->service_count];
 		service->id = rnk_name_id(row->name);
 		snprintf(service->name, sizeof(service->name), "%s", row->name);
-		if (tbl_parse_address(row->address, &service->ip,
+		service->cold_per_ks = row->cold_per_ks;
+		service->flow_idle_ms = row->flow_idle_ms;
+		if (*row->address &&
+		    tbl_parse_address(row->address, &service->ip,
 				      &service->port, NULL) != JJ_OK)
 			continue;
 		service->open = row->state == JJ__ROW_STATE__STATE_IN;
@@ -56,6 +59,44 @@
 	      by_service_id);
 }
 
+static int by_address(const void *a, const void *b)
+{
+	const struct viw_route *x = a;
+	const struct viw_route *y = b;
+
+	if (x->ip != y->ip)
+		return x->ip > y->ip ? 1 : -1;
+	if (x->port != y->port)
+		return x->port > y->port ? 1 : -1;
+	return (x->service > y->service) - (x->service < y->service);
+}
+
+/* Removed rows stay as tombstones and tell where older flows may be. */
+static void add_routes(struct viw *view, const struct tbl *tbl)
+{
+	uint32_t i;
+
+	for (i = 0; i < tbl->count; i++) {
+		const struct tbl_row *row = &tbl->rows[i];
+		const struct viw_service *service;
+		struct viw_route *route;
+
+		if (row->kind != JJ__KIND__KIND_ROUTE)
+			continue;
+		service = viw_service(view, rnk_name_id(row->service));
+		route = &view->routes[view->route_count];
+		if (!service || tbl_parse_address(row->address, &route->ip,
+						  &route->port, NULL) != JJ_OK)
+			continue;
+		route->service = (uint32_t)(service - view->services);
+		route->weight = row->weight;
+		route->former = row->state != JJ__ROW_STATE__STATE_IN;
+		view->route_count++;
+	}
+	qsort(view->routes, view->route_count, sizeof(*view->routes),
+	      by_address);
+}
+
 /* The row, unless it was removed. */
 static const struct tbl_row *row_of(const struct tbl *tbl, Jj__Kind kind,
 				    const char *name)
@@ -145,6 +186,7 @@
 	agent->data_port = member->data_port;
 	agent->service = (uint32_t)(in_view - view->services);
 	agent->phase = member->phase;
+	agent->data_centre = rnk_name_id(member->data_centre);
 	set_limits(agent, target, service);
 	set_state(agent, target, centre, service);
 }
@@ -161,6 +203,7 @@
 	balancer->ip = member->ip;
 	balancer->data_port = member->data_port;
 	balancer->control_port = member->control_port;
+	balancer->data_centre = rnk_name_id(member->data_centre);
 	balancer->usable = !centre || centre->state < JJ__ROW_STATE__STATE_OUT;
 }
 
@@ -205,6 +248,8 @@
 
 		view->nodes[i].id = agent->id;
 		view->nodes[i].weight = agent->can_open ? agent->weight : 0;
+		view->homes[i].id = agent->id;
+		view->homes[i].weight = agent->can_hold;
 		map_put(&view->agent_index, agent->id, i);
 		if (!service->count++)
 			service->first = i;
@@ -226,15 +271,18 @@
 	view->services = calloc(tbl->count + 1, sizeof(*view->services));
 	view->agents = calloc(mbr->count + 1, sizeof(*view->agents));
 	view->nodes = calloc(mbr->count + 1, sizeof(*view->nodes));
+	view->homes = calloc(mbr->count + 1, sizeof(*view->homes));
+	view->routes = calloc(tbl->count + 1, sizeof(*view->routes));
 	view->balancers = calloc(mbr->count + 1, sizeof(*view->balancers));
 	view->cells = calloc(cells, sizeof(*view->cells));
-	if (!view->services || !view->agents || !view->nodes ||
-	    !view->balancers || !view->cells) {
+	if (!view->services || !view->agents || !view->nodes || !view->homes ||
+	    !view->routes || !view->balancers || !view->cells) {
 		viw_free(view);
 		return NULL;
 	}
 	map_init(&view->agent_index, view->cells, cells);
 	add_services(view, tbl);
+	add_routes(view, tbl);
 	add_members(view, tbl, mbr);
 	index_agents(view);
 	return view;
@@ -247,6 +295,8 @@
 	free(view->services);
 	free(view->agents);
 	free(view->nodes);
+	free(view->homes);
+	free(view->routes);
 	free(view->balancers);
 	free(view->cells);
 	free(view);
@@ -291,6 +341,103 @@
 	return used;
 }
 
+int viw_homes(const struct viw *view, const struct viw_service *service,
+	      uint64_t key, int *out, int max)
+{
+	int used = rnk_order(view->homes + service->first, (int)service->count,
+			     key, out, max);
+	int i;
+
+	for (i = 0; i < used; i++)
+		out[i] += (int)service->first;
+	return used;
+}
+
+const struct viw_agent *viw_home(const struct viw *view,
+				 const struct viw_service *service,
+				 uint64_t key)
+{
+	int at = rnk_first(view->homes + service->first, (int)service->count,
+			   key);
+
+	return at < 0 ? NULL : &view->agents[service->first + (uint32_t)at];
+}
+
+/* First route of an address, or where it would be; the end is *end. */
+static const struct viw_route *routes_of(const struct viw *view, uint32_t ip,
+					 uint16_t port,
+					 const struct viw_route **end)
+{
+	struct viw_route key = { .ip = ip, .port = port };
+	uint32_t low = 0;
+	uint32_t high = view->route_count;
+
+	while (low < high) {
+		uint32_t middle = (low + high) / 2;
+
+		if (by_address(&view->routes[middle], &key) < 0)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	high = low;
+	while (high < view->route_count && view->routes[high].ip == ip &&
+	       view->routes[high].port == port)
+		high++;
+	*end = view->routes + high;
+	return view->routes + low;
+}
+
+const struct viw_service *viw_route(const struct viw *view, uint32_t ip,
+				    uint16_t port, uint64_t key)
+{
+	const struct viw_route *end;
+	const struct viw_route *first = routes_of(view, ip, port, &end);
+	const struct viw_route *route;
+	uint64_t sum = 0;
+	uint64_t at;
+
+	for (route = first; route < end; route++)
+		sum += route->former ? 0 : route->weight;
+	if (!sum)
+		return NULL;
+	at = rnk_hash(&key, sizeof(key)) % sum;
+	for (route = first; route < end; route++) {
+		if (route->former)
+			continue;
+		if (at < route->weight)
+			return &view->services[route->service];
+		at -= route->weight;
+	}
+	return NULL;
+}
+
+int viw_leads_to(const struct viw *view, uint32_t ip, uint16_t port,
+		 const struct viw_service *service, int former)
+{
+	const struct viw_route *end;
+	const struct viw_route *route = routes_of(view, ip, port, &end);
+
+	for (; route < end; route++)
+		if (&view->services[route->service] == service &&
+		    (former || (!route->former && route->weight)))
+			return 1;
+	return 0;
+}
+
+const struct viw_service *viw_former(const struct viw *view, uint32_t ip,
+				     uint16_t port,
+				     const struct viw_service *previous)
+{
+	const struct viw_route *end;
+	const struct viw_route *route = routes_of(view, ip, port, &end);
+
+	for (; route < end; route++)
+		if (!previous || &view->services[route->service] > previous)
+			return &view->services[route->service];
+	return NULL;
+}
+
 const struct viw_balancer *viw_answer_path(const struct viw *view, uint64_t via,
 					   uint64_t key)
 {
--- a/src/io/daemon.c
+++ b/src/io/daemon.c
@@ -78,6 +78,9 @@
 	node->probe_ms = fleet->probe_ms;
 	node->suspect_ms = fleet->suspect_ms;
 	node->gossip_ms = fleet->gossip_ms;
+	node->members_max = fleet->members_max;
+	node->rows_max = fleet->rows_max;
+	node->lanes_max = fleet->lanes_max;
 }
 
 ProtobufCMessage *dmn_load(const struct dmn_args *args,
@@ -163,11 +166,11 @@
 	}
 }
 
-void dmn_drain(uint32_t bound_s, int (*done)(void *ctx), void *ctx)
+void dmn_drain(uint32_t bound_ms, int (*done)(void *ctx), void *ctx)
 {
 	struct timespec step = { .tv_nsec = 50 * 1000000 };
 	sigset_t set = handled_signals();
-	uint64_t until = net_now_ms() + bound_s * 1000ull;
+	uint64_t until = net_now_ms() + bound_ms;
 
 	while (net_now_ms() < until && !done(ctx)) {
 		int sig = sigtimedwait(&set, NULL, &step);
--- a/src/io/daemon.h
+++ b/src/io/daemon.h
@@ -49,9 +49,9 @@
 	      const struct dmn_hooks *hooks);
 
 /*
- * Waits until done() or bound_s is over. A further SIGTERM or SIGINT ends
+ * Waits until done() or bound_ms are over. A further SIGTERM or SIGINT ends
  * the process at once.
  */
-void dmn_drain(uint32_t bound_s, int (*done)(void *ctx), void *ctx);
+void dmn_drain(uint32_t bound_ms, int (*done)(void *ctx), void *ctx);
 
 #endif
--- /dev/null
+++ b/src/io/egress.c
@@ -0,0 +1,340 @@
+#include "egress.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <urcu.h>
+#include "net.h"
+
+#define BATCH 64 /* datagrams of one socket in a round */
+#define WAIT_MS 250
+#define TELL_MS 300 /* the fleet hears of a stop before the last opening */
+
+enum { FROM_TARGET, FROM_FLEET };
+
+struct egr_thread {
+	struct egr *egr;
+	pthread_t thread;
+	struct nod_lane lane;
+	struct frm_arena arena;
+	int epoll_fd;
+	int target_fd;
+	int data_fd;
+};
+
+static struct flw_call call_of(struct egr *egr, struct nod_lane *lane,
+			       const struct viw *view)
+{
+	struct flw_call call = { .flw = &egr->flw,
+				 .thread = lane,
+				 .view = view,
+				 .now = net_now_us() };
+
+	return call;
+}
+
+/* -- hooks of the flow layer --------------------------------------------- */
+
+/* A datagram that cannot go is lost, as on any link. */
+static void send_raw(struct egr *egr, uint32_t ip, uint16_t port,
+		     const uint8_t *data, size_t len)
+{
+	struct sockaddr_in to = net_address(ip, port);
+
+	sendto(egr->threads[0].target_fd, data, len, MSG_DONTWAIT,
+	       (struct sockaddr *)&to, sizeof(to));
+}
+
+static void on_to_target(void *ctx, const uint8_t *data, size_t len)
+{
+	struct egr *egr = ctx;
+
+	send_raw(egr, egr->desc.target_ip, egr->desc.target_port, data, len);
+}
+
+static void on_to_caller(void *ctx, uint32_t ip, const uint8_t *data,
+			 size_t len)
+{
+	struct egr *egr = ctx;
+
+	send_raw(egr, ip, egr->desc.caller_port, data, len);
+}
+
+static void on_to_process(void *ctx, void *thread, uint32_t ip, uint16_t port,
+			  Jj__Envelope *env)
+{
+	struct egr *egr = ctx;
+	struct nod_lane *lane = thread;
+	struct sockaddr_in to = net_address(ip, port);
+	size_t len = frm_seal(&lane->out, env, lane->buf, sizeof(lane->buf));
+
+	if (len)
+		sendto(egr->threads[0].data_fd, lane->buf, len, MSG_DONTWAIT,
+		       (struct sockaddr *)&to, sizeof(to));
+}
+
+static void on_to_agent(void *ctx, void *thread, const struct viw_agent *agent,
+			Jj__Packet *packet)
+{
+	Jj__Envelope env = JJ__ENVELOPE__INIT;
+
+	env.body_case = JJ__ENVELOPE__BODY_PACKET;
+	env.packet = packet;
+	on_to_process(ctx, thread, agent->ip, agent->data_port, &env);
+}
+
+static void on_control(void *ctx, void *thread, const struct viw_agent *agent,
+		       Jj__Envelope *env)
+{
+	struct egr *egr = ctx;
+
+	nod_send(egr->nod, thread, agent->ip, agent->control_port, env);
+}
+
+/* -- threads ------------------------------------------------------------- */
+
+static void on_message(struct egr_thread *t, const struct viw *view,
+		       const Jj__Envelope *env)
+{
+	struct flw_call call = call_of(t->egr, &t->lane, view);
+
+	if (env->body_case == JJ__ENVELOPE__BODY_PACKET)
+		flw_from_fleet(&call, env->packet);
+	else if (env->body_case == JJ__ENVELOPE__BODY_HOLDINGS)
+		flw_on_holdings(&call, env->holdings);
+}
+
+static void from_fleet(struct egr_thread *t, const struct viw *view)
+{
+	struct nod *nod = t->egr->nod;
+	uint8_t buf[FRM_MAX_DATAGRAM];
+	int budget = BATCH;
+
+	while (budget--) {
+		ssize_t len = recv(t->data_fd, buf, sizeof(buf), MSG_DONTWAIT);
+		Jj__Envelope *env;
+		enum jj_status status;
+
+		if (len < 0)
+			return;
+		status = frm_open(&nod->key, &nod->replay, &t->arena, buf,
+				  (size_t)len, &env);
+		if (status == JJ_OK)
+			on_message(t, view, env);
+		else
+			nod_count_bad(nod, status, 0, 0);
+	}
+}
+
+static void from_target(struct egr_thread *t, const struct viw *view)
+{
+	uint8_t buf[FRM_MAX_DATAGRAM];
+	int budget = BATCH;
+
+	while (budget--) {
+		struct flw_call call = call_of(t->egr, &t->lane, view);
+		ssize_t len =
+			recv(t->target_fd, buf, sizeof(buf), MSG_DONTWAIT);
+
+		/* A refused port shows as an error once: the next is read. */
+		if (len < 0 && errno == ECONNREFUSED)
+			continue;
+		if (len < 0)
+			return;
+		flw_from_target(&call, buf, (size_t)len);
+	}
+}
+
+static void *run_thread(void *arg)
+{
+	struct egr_thread *t = arg;
+	struct epoll_event events[2];
+
+	rcu_register_thread();
+	frm_arena_init(&t->arena);
+	while (!t->egr->stopping) {
+		int count = epoll_wait(t->epoll_fd, events, 2, WAIT_MS);
+		const struct viw *view;
+		int i;
+
+		rcu_read_lock();
+		view = nod_view(t->egr->nod);
+		for (i = 0; i < count; i++) {
+			if (events[i].data.u32 == FROM_TARGET)
+				from_target(t, view);
+			else
+				from_fleet(t, view);
+		}
+		rcu_read_unlock();
+	}
+	rcu_unregister_thread();
+	return NULL;
+}
+
+/* -- node hooks ---------------------------------------------------------- */
+
+void egr_view_changed(void *ctx, struct nod_lane *lane, const struct viw *view)
+{
+	struct egr *egr = ctx;
+	struct flw_call call = call_of(egr, lane, view);
+
+	flw_view_changed(&call);
+}
+
+void egr_control(void *ctx, struct nod_lane *lane, const struct viw *view,
+		 const Jj__Envelope *env)
+{
+	struct egr *egr = ctx;
+	struct flw_call call = call_of(egr, lane, view);
+
+	if (env->body_case == JJ__ENVELOPE__BODY_LOAD)
+		flw_on_load(&call, env->sender, env->load);
+}
+
+void egr_tick(void *ctx, struct nod_lane *lane, const struct viw *view)
+{
+	struct egr *egr = ctx;
+	struct flw_call call = call_of(egr, lane, view);
+
+	nod_set_phase(egr->nod, flw_phase(&egr->flw, call.now,
+					  egr->desc.heartbeat_ms));
+	flw_tick(&call);
+}
+
+void egr_dump(void *ctx, FILE *out)
+{
+	struct egr *egr = ctx;
+	struct flw *flw = &egr->flw;
+
+	pthread_mutex_lock(&flw->target_lock);
+	fprintf(out,
+		"target id=%s slots=%u leaving=%d unanswered=%u flows=%u "
+		"in_hand=%u\n",
+		*flw->target.said.id ? flw->target.said.id : "-",
+		flw->target.said.slots, flw->target.said.leaving,
+		flw->target.unanswered, (unsigned)flw->flow_count,
+		(unsigned)flw->in_hand);
+	pthread_mutex_unlock(&flw->target_lock);
+}
+
+/* -- start and finish ---------------------------------------------------- */
+
+static int watch(struct egr_thread *t, int fd, uint32_t tag)
+{
+	struct epoll_event event = { .events = EPOLLIN, .data.u32 = tag };
+
+	return epoll_ctl(t->epoll_fd, EPOLL_CTL_ADD, fd, &event);
+}
+
+static enum jj_status init_thread(struct egr *egr, uint32_t i,
+				  struct jj_error *err)
+{
+	struct egr_thread *t = &egr->threads[i];
+	const struct egr_desc *desc = &egr->desc;
+
+	t->egr = egr;
+	t->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+	t->target_fd = net_udp(desc->ip, desc->port, NET_REUSE_PORT, err);
+	if (t->target_fd < 0)
+		return JJ_SYSTEM;
+	t->data_fd =
+		net_udp(desc->data_ip, desc->data_port, NET_REUSE_PORT, err);
+	if (t->data_fd < 0)
+		return JJ_SYSTEM;
+	if (t->epoll_fd < 0 || watch(t, t->target_fd, FROM_TARGET) ||
+	    watch(t, t->data_fd, FROM_FLEET))
+		return st_fail(err, JJ_SYSTEM, "egress thread: %s",
+			       strerror(errno));
+	nod_lane_init(egr->nod, &t->lane, NOD_LANE_WORKER + i);
+	return JJ_OK;
+}
+
+enum jj_status egr_init(struct egr *egr, const struct egr_desc *desc,
+			struct nod *nod, struct jj_error *err)
+{
+	struct flw_desc flow = desc->flow;
+	enum jj_status status;
+	uint32_t i;
+
+	memset(egr, 0, sizeof(*egr));
+	egr->desc = *desc;
+	egr->nod = nod;
+	flow.id = nod->id;
+	flow.met = &nod->met;
+	flow.log = &nod->desc.log->sink;
+	flow.hooks = (struct flw_hooks){ .to_target = on_to_target,
+					 .to_caller = on_to_caller,
+					 .to_agent = on_to_agent,
+					 .to_process = on_to_process,
+					 .control = on_control,
+					 .ctx = egr };
+	status = flw_resolve(&flow, err);
+	if (status != JJ_OK)
+		return status;
+	if (flw_init(&egr->flw, &flow, net_now_us()) != JJ_OK)
+		return st_fail(err, JJ_SYSTEM, "out of memory");
+	egr->threads = calloc(desc->threads, sizeof(*egr->threads));
+	if (!egr->threads)
+		return st_fail(err, JJ_SYSTEM, "out of memory");
+	for (i = 0; i < desc->threads; i++) {
+		status = init_thread(egr, i, err);
+		if (status != JJ_OK)
+			return status;
+	}
+	return JJ_OK;
+}
+
+enum jj_status egr_start(struct egr *egr, struct jj_error *err)
+{
+	uint32_t i;
+
+	for (i = 0; i < egr->desc.threads; i++)
+		if (pthread_create(&egr->threads[i].thread, NULL, run_thread,
+				   &egr->threads[i]))
+			return st_fail(err, JJ_SYSTEM,
+				       "no thread can be started");
+	return JJ_OK;
+}
+
+void egr_finish(struct egr *egr)
+{
+	uint32_t i;
+
+	egr->stopping = 1;
+	for (i = 0; i < egr->desc.threads; i++) {
+		pthread_join(egr->threads[i].thread, NULL);
+		close(egr->threads[i].target_fd);
+		close(egr->threads[i].data_fd);
+		close(egr->threads[i].epoll_fd);
+	}
+	free(egr->threads);
+	flw_finish(&egr->flw);
+}
+
+enum jj_status egr_on_report(struct egr *egr, const struct flw_report *report,
+			     struct jj_error *err)
+{
+	enum jj_status status =
+		flw_on_report(&egr->flw, report, net_now_us(), err);
+
+	if (status != JJ_OK)
+		log_put(&egr->nod->desc.log->sink, EV_REPORT_REFUSED, "%s",
+			err->message);
+	return status;
+}
+
+void egr_stop(struct egr *egr)
+{
+	flw_stop(&egr->flw);
+	egr->stopping_ms = net_now_ms();
+}
+
+int egr_idle(void *ctx)
+{
+	struct egr *egr = ctx;
+
+	return net_now_ms() > egr->stopping_ms + TELL_MS && !egr->flw.in_hand;
+}
--- /dev/null
+++ b/src/io/egress.h
@@ -0,0 +1,58 @@
+/*
+ * egress - sockets and threads of an agent that relays flows
+ *
+ * One socket at the address that the target sends to carries both directions
+ * between agent and target, and the answers to callers; another takes the
+ * fleet's packets. The target tells of itself by heartbeats on HTTP.
+ */
+#ifndef JUJUBE_EGRESS_H
+#define JUJUBE_EGRESS_H
+
+#include "jujube/flow.h"
+#include "node.h"
+
+struct egr_desc {
+	struct flw_desc flow; /* hooks, id and counters are filled in */
+	uint32_t threads;
+	uint32_t ip; /* address that the target sends to */
+	uint16_t port;
+	uint16_t caller_port;
+	uint32_t data_ip;
+	uint16_t data_port; /* for the fleet's packets */
+	uint32_t target_ip;
+	uint16_t target_port;
+	uint32_t heartbeat_ms;
+};
+
+struct egr_thread;
+
+struct egr {
+	struct egr_desc desc;
+	struct nod *nod;
+	struct flw flw;
+	struct egr_thread *threads;
+	uint64_t stopping_ms;
+	_Atomic int stopping;
+};
+
+enum jj_status egr_init(struct egr *egr, const struct egr_desc *desc,
+			struct nod *nod, struct jj_error *err);
+enum jj_status egr_start(struct egr *egr, struct jj_error *err);
+void egr_finish(struct egr *egr);
+
+/* A heartbeat of the target; statuses as of flw_on_report(). */
+enum jj_status egr_on_report(struct egr *egr, const struct flw_report *report,
+			     struct jj_error *err);
+
+/* No new flows; egr_idle() tells when the last answer is out. */
+void egr_stop(struct egr *egr);
+int egr_idle(void *ctx);
+
+/* Hooks for the node; ctx is the struct egr. */
+void egr_view_changed(void *ctx, struct nod_lane *lane, const struct viw *view);
+void egr_control(void *ctx, struct nod_lane *lane, const struct viw *view,
+		 const Jj__Envelope *env);
+void egr_tick(void *ctx, struct nod_lane *lane, const struct viw *view);
+void egr_dump(void *ctx, FILE *out);
+
+#endif
--- /dev/null
+++ b/src/io/http.h
@@ -0,0 +1,92 @@
+/*
+ * http - requests to a server, and a small server, on libevent
+ *
+ * struct htc: one thread's client with one kept connection. A call blocks
+ * until the answer is whole, timeout_ms are over, or *stop is set. After a
+ * call without an answer the connection is not used again. A connection that
+ * has gone silent is noticed by keep-alive probes, also in a long wait.
+ *
+ * struct hts: one thread that answers on several addresses. The handler runs
+ * in that thread.
+ */
+#ifndef JUJUBE_HTTP_H
+#define JUJUBE_HTTP_H
+
+#include <event2/event.h>
+#include <event2/http.h>
+#include <pthread.h>
+#include "jujube/status.h"
+
+#define HTC_BODY_MAX (8u << 20) /* bytes of an answer */
+#define HTS_BODY_MAX 65536 /* bytes of a request */
+#define HTS_ADDRESSES 4
+
+struct htc {
+	struct event_base *base;
+	struct evhttp_connection *conn; /* null: opened by the next call */
+	char host[16];
+	uint16_t port;
+	const _Atomic int *stop;
+	/* of the call in progress */
+	int done;
+	int code;
+	char *body;
+	size_t len;
+};
+
+/* JJ_SYSTEM: no memory. */
+enum jj_status htc_init(struct htc *htc, uint32_t ip, uint16_t port,
+			const _Atomic int *stop);
+void htc_finish(struct htc *htc);
+
+/*
+ * Status code of the answer, 0: none came. *body is on the heap (null when
+ * empty) and ends with a zero that *len does not count.
+ */
+int htc_call(struct htc *htc, enum evhttp_cmd_type method, const char *path,
+	     const char *request, uint32_t timeout_ms, char **body,
+	     size_t *len);
+
+struct hts_request {
+	uint32_t tag; /* of the address that it came to */
+	enum evhttp_cmd_type method;
+	const char *path;
+	const char *body;
+	size_t len;
+};
+
+struct hts_answer {
+	int code;
+	const char *type;
+	char *body; /* on the heap, freed by the server; null: empty */
+};
+
+typedef void (*hts_handler)(void *ctx, const struct hts_request *request,
+			    struct hts_answer *answer);
+
+struct hts_address {
+	struct hts *hts;
+	struct evhttp *http;
+	uint32_t tag;
+};
+
+struct hts {
+	struct event_base *base;
+	struct hts_address addresses[HTS_ADDRESSES];
+	uint32_t count;
+	hts_handler handler;
+	void *ctx;
+	pthread_t thread;
+	_Atomic int stopping;
+	int running;
+};
+
+enum jj_status hts_init(struct hts *hts, hts_handler handler, void *ctx,
+			struct jj_error *err);
+/* Listens at "ip:port". */
+enum jj_status hts_listen(struct hts *hts, const char *address, uint32_t tag,
+			  struct jj_error *err);
+enum jj_status hts_start(struct hts *hts, struct jj_error *err);
+void hts_finish(struct hts *hts);
+
+#endif
--- /dev/null
+++ b/src/io/ingress.c
@@ -0,0 +1,317 @@
+#include "ingress.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <urcu.h>
+#include "net.h"
+
+#define BATCH 16
+#define PACKET_MAX 1536 /* bytes of a caller's datagram */
+#define WAIT_MS 250
+#define IDLE_MS 400 /* a fabric that still sends here sends more often */
+/* A starting balancer hears of all agents well within it. */
+#define START_MS 3000
+
+enum { FROM_CALLERS, FROM_FLEET };
+
+struct ing_thread {
+	struct ing *ing;
+	pthread_t thread;
+	struct nod_lane lane;
+	struct frm_arena arena;
+	int epoll_fd;
+	int caller_fd;
+	int data_fd;
+	struct mmsghdr in[BATCH];
+	struct iovec iov[BATCH];
+	uint8_t data[BATCH][PACKET_MAX];
+};
+
+/* -- callers' packets ---------------------------------------------------- */
+
+static void reset_caller(struct ing_thread *t, const struct flw_packet *head)
+{
+	const struct ing_desc *desc = &t->ing->desc;
+	struct sockaddr_in to =
+		net_address(head->caller_ip, desc->caller_port);
+	uint8_t buf[FLW_OPENING_MAX];
+	size_t len = desc->codec.reset(head, 0, buf, sizeof(buf));
+
+	met_add(&t->ing->nod->met, MET_RESETS, 1);
+	if (len)
+		sendto(t->caller_fd, buf, len, MSG_DONTWAIT,
+		       (struct sockaddr *)&to, sizeof(to));
+}
+
+static void log_lost(struct ing_thread *t, enum log_event event,
+		     const struct viw *view, const struct flw_packet *head)
+{
+	log_put(&t->ing->nod->desc.log->sink, event,
+		"flow=%08x:%u>%08x:%u repeat=%u opens=%d revision=%llu "
+		"agents=%u",
+		head->caller_ip, head->caller_port, head->service_ip,
+		head->service_port, head->repeat, head->opens,
+		(unsigned long long)view->revision, view->agent_count);
+}
+
+static void no_choice(struct ing_thread *t, const struct viw *view,
+		      const struct flw_packet *head, enum jj_status status)
+{
+	struct ing *ing = t->ing;
+	int fresh = net_now_ms() < ing->started_ms + START_MS;
+
+	met_add(&ing->nod->met,
+		status == JJ_NOT_FOUND ? MET_NO_ROUTE : MET_NO_TARGET, 1);
+	log_lost(t, status == JJ_NOT_FOUND ? EV_ROUTE_UNKNOWN : EV_NO_TARGET,
+		 view, head);
+	/* One that does not know the fleet yet leaves it to the next copy. */
+	if (head->opens && !fresh)
+		reset_caller(t, head);
+}
+
+static void send_packet(struct ing_thread *t, const struct rly_choice *choice,
+			const struct flw_packet *head, uint64_t key,
+			const uint8_t *data, size_t len)
+{
+	struct ing *ing = t->ing;
+	struct sockaddr_in to =
+		net_address(choice->agent->ip, choice->agent->data_port);
+	Jj__Envelope env = JJ__ENVELOPE__INIT;
+	Jj__Packet packet = JJ__PACKET__INIT;
+	size_t sealed;
+
+	packet.service = choice->service->id;
+	packet.caller_ip = head->caller_ip;
+	packet.caller_port = head->caller_port;
+	packet.flow = key;
+	packet.via_ip = ing->desc.data_ip;
+	packet.via_port = ing->desc.data_port;
+	packet.via_id = ing->nod->id;
+	packet.to_agent = choice->agent->id;
+	packet.to_incarnation = choice->agent->incarnation;
+	packet.data.data = (uint8_t *)data;
+	packet.data.len = len;
+	env.body_case = JJ__ENVELOPE__BODY_PACKET;
+	env.packet = &packet;
+	sealed = frm_seal(&t->lane.out, &env, t->lane.buf,
+			  sizeof(t->lane.buf));
+	met_add(&ing->nod->met, MET_FORWARDED, 1);
+	met_add(&ing->nod->met, MET_CACHE_HITS, (uint64_t)choice->cached);
+	if (sealed)
+		sendto(t->data_fd, t->lane.buf, sealed, MSG_DONTWAIT,
+		       (struct sockaddr *)&to, sizeof(to));
+}
+
+static void relay_one(struct ing_thread *t, const struct viw *view,
+		      const uint8_t *data, size_t len, uint64_t now_ms)
+{
+	struct ing *ing = t->ing;
+	struct rly_choice choice;
+	struct flw_packet head;
+	enum jj_status status;
+	uint64_t key;
+
+	if (ing->desc.codec.decode(data, len, 0, &head) != JJ_OK) {
+		met_add(&ing->nod->met, MET_BAD_FRAME, 1);
+		return;
+	}
+	key = flw_key(&head);
+	status = rly_pick(&ing->rly, view, &head, key, now_ms, &choice);
+	if (status == JJ_OK)
+		send_packet(t, &choice, &head, key, data, len);
+	else
+		no_choice(t, view, &head, status);
+}
+
+static int receive(struct ing_thread *t, int fd)
+{
+	int i;
+
+	for (i = 0; i < BATCH; i++) {
+		t->iov[i].iov_base = t->data[i];
+		t->iov[i].iov_len = PACKET_MAX;
+		t->in[i].msg_hdr = (struct msghdr){ .msg_iov = &t->iov[i],
+						    .msg_iovlen = 1 };
+	}
+	return recvmmsg(fd, t->in, BATCH, MSG_DONTWAIT, NULL);
+}
+
+static void from_callers(struct ing_thread *t, const struct viw *view)
+{
+	uint64_t now_ms = net_now_ms();
+	int count = receive(t, t->caller_fd);
+	int i;
+
+	if (count <= 0)
+		return;
+	t->ing->last_packet_ms = now_ms;
+	met_add(&t->ing->nod->met, MET_PACKETS_IN, (uint64_t)count);
+	for (i = 0; i < count; i++)
+		relay_one(t, view, t->data[i], t->in[i].msg_len, now_ms);
+}
+
+/* -- the fleet's messages ------------------------------------------------ */
+
+static void on_holdings(struct ing_thread *t, const struct viw *view,
+			const Jj__Holdings *holdings)
+{
+	uint64_t now_ms = net_now_ms();
+	size_t i;
+
+	for (i = 0; i < holdings->n_items; i++)
+		rly_learn(&t->ing->rly, view, holdings->items[i]->flow,
+			  holdings->items[i]->holder, now_ms);
+}
+
+static void from_fleet(struct ing_thread *t, const struct viw *view)
+{
+	struct nod *nod = t->ing->nod;
+	int count = receive(t, t->data_fd);
+	int i;
+
+	for (i = 0; i < count; i++) {
+		Jj__Envelope *env;
+		enum jj_status status =
+			frm_open(&nod->key, &nod->replay, &t->arena, t->data[i],
+				 t->in[i].msg_len, &env);
+
+		if (status != JJ_OK)
+			nod_count_bad(nod, status, 0, 0);
+		else if (env->body_case == JJ__ENVELOPE__BODY_HOLDINGS)
+			on_holdings(t, view, env->holdings);
+	}
+}
+
+/* -- threads ------------------------------------------------------------- */
+
+static void *run_thread(void *arg)
+{
+	struct ing_thread *t = arg;
+	struct epoll_event events[2];
+
+	rcu_register_thread();
+	frm_arena_init(&t->arena);
+	while (!t->ing->stopping) {
+		int count = epoll_wait(t->epoll_fd, events, 2, WAIT_MS);
+		const struct viw *view;
+		int i;
+
+		rcu_read_lock();
+		view = nod_view(t->ing->nod);
+		for (i = 0; i < count; i++) {
+			if (events[i].data.u32 == FROM_CALLERS)
+				from_callers(t, view);
+			else
+				from_fleet(t, view);
+		}
+		rcu_read_unlock();
+	}
+	rcu_unregister_thread();
+	return NULL;
+}
+
+static int watch(struct ing_thread *t, int fd, uint32_t tag)
+{
+	struct epoll_event event = { .events = EPOLLIN, .data.u32 = tag };
+
+	return epoll_ctl(t->epoll_fd, EPOLL_CTL_ADD, fd, &event);
+}
+
+static enum jj_status init_thread(struct ing *ing, uint32_t i,
+				  struct jj_error *err)
+{
+	struct ing_thread *t = &ing->threads[i];
+	const struct ing_desc *desc = &ing->desc;
+
+	t->ing = ing;
+	t->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+	t->caller_fd = net_udp(desc->ip, desc->port, NET_REUSE_PORT, err);
+	if (t->caller_fd < 0)
+		return JJ_SYSTEM;
+	t->data_fd =
+		net_udp(desc->data_ip, desc->data_port, NET_REUSE_PORT, err);
+	if (t->data_fd < 0)
+		return JJ_SYSTEM;
+	if (t->epoll_fd < 0 || watch(t, t->caller_fd, FROM_CALLERS) ||
+	    watch(t, t->data_fd, FROM_FLEET))
+		return st_fail(err, JJ_SYSTEM, "ingress thread: %s",
+			       strerror(errno));
+	nod_lane_init(ing->nod, &t->lane, NOD_LANE_WORKER + i);
+	return JJ_OK;
+}
+
+enum jj_status ing_init(struct ing *ing, const struct ing_desc *desc,
+			struct nod *nod, struct jj_error *err)
+{
+	uint32_t i;
+
+	memset(ing, 0, sizeof(*ing));
+	ing->desc = *desc;
+	ing->nod = nod;
+	ing->started_ms = net_now_ms();
+	if (rly_init(&ing->rly, &desc->cache) != JJ_OK)
+		return st_fail(err, JJ_SYSTEM, "out of memory");
+	ing->threads = calloc(desc->threads, sizeof(*ing->threads));
+	if (!ing->threads)
+		return st_fail(err, JJ_SYSTEM, "out of memory");
+	for (i = 0; i < desc->threads; i++) {
+		enum jj_status status = init_thread(ing, i, err);
+
+		if (status != JJ_OK)
+			return status;
+	}
+	return JJ_OK;
+}
+
+enum jj_status ing_start(struct ing *ing, struct jj_error *err)
+{
+	uint32_t i;
+
+	for (i = 0; i < ing->desc.threads; i++)
+		if (pthread_create(&ing->threads[i].thread, NULL, run_thread,
+				   &ing->threads[i]))
+			return st_fail(err, JJ_SYSTEM,
+				       "no thread can be started");
+	return JJ_OK;
+}
+
+void ing_finish(struct ing *ing)
+{
+	uint32_t i;
+
+	ing->stopping = 1;
+	for (i = 0; i < ing->desc.threads; i++) {
+		pthread_join(ing->threads[i].thread, NULL);
+		close(ing->threads[i].caller_fd);
+		close(ing->threads[i].data_fd);
+		close(ing->threads[i].epoll_fd);
+	}
+	free(ing->threads);
+	rly_finish(&ing->rly);
+}
+
+int ing_ready(const struct ing *ing)
+{
+	const struct viw *view;
+	uint32_t usable = 0;
+	uint32_t i;
+
+	rcu_read_lock();
+	view = nod_view(ing->nod);
+	for (i = 0; i < view->agent_count; i++)
+		usable += view->agents[i].can_hold;
+	usable = view->revision ? usable : 0;
+	rcu_read_unlock();
+	return usable > 0;
+}
+
+int ing_idle(void *ctx)
+{
+	struct ing *ing = ctx;
+
+	return net_now_ms() > ing->last_packet_ms + IDLE_MS;
+}
--- /dev/null
+++ b/src/io/ingress.h
@@ -0,0 +1,48 @@
+/*
+ * ingress - sockets and threads of a balancer that relays flows
+ *
+ * Threads share the address that the fabric sends to by SO_REUSEPORT. Answers
+ * do not pass here: agents send them to callers. A planned stop answers the
+ * readiness check with "no" first and forwards for as long as packets come.
+ */
+#ifndef JUJUBE_INGRESS_H
+#define JUJUBE_INGRESS_H
+
+#include "jujube/relay.h"
+#include "node.h"
+
+struct ing_desc {
+	uint32_t threads;
+	uint32_t ip; /* address that the fabric sends to */
+	uint16_t port;
+	uint16_t caller_port; /* where callers take packets */
+	uint32_t data_ip;
+	uint16_t data_port; /* for the fleet's messages */
+	struct rt_desc cache;
+	struct flw_codec codec;
+};
+
+struct ing_thread;
+
+struct ing {
+	struct ing_desc desc;
+	struct nod *nod;
+	struct rly rly;
+	struct ing_thread *threads;
+	uint64_t started_ms;
+	_Atomic int stopping;
+	_Atomic uint64_t last_packet_ms;
+};
+
+enum jj_status ing_init(struct ing *ing, const struct ing_desc *desc,
+			struct nod *nod, struct jj_error *err);
+enum jj_status ing_start(struct ing *ing, struct jj_error *err);
+void ing_finish(struct ing *ing);
+
+/* Whether callers' packets would find their way. */
+int ing_ready(const struct ing *ing);
+
+/* No packet came for a while; for dmn_drain(). */
+int ing_idle(void *ctx);
+
+#endif
--- a/src/io/node.c
+++ b/src/io/node.c
@@ -119,6 +119,91 @@
 	pthread_mutex_unlock(&nod->lock);
 }
 
+/* Lock held. */
+static void note_table(struct nod *nod, uint64_t before, uint32_t changed)
+{
+	if (nod->tbl.revision == before && !changed)
+		return;
+	nod->revision = nod->tbl.revision;
+	mbr_set_revision(&nod->mbr, nod->tbl.revision);
+	nod->dirty = 1;
+	if (changed)
+		log_put(&nod->desc.log->sink, EV_TABLE_APPLIED,
+			"revision=%llu before=%llu changed=%u rows=%u",
+			(unsigned long long)nod->tbl.revision,
+			(unsigned long long)before, changed, nod->tbl.count);
+}
+
+void nod_replace_rows(struct nod *nod, const char *source,
+		      const struct tbl_row *rows, uint32_t count,
+		      uint64_t revision)
+{
+	struct jj_error err;
+	uint32_t changed;
+
+	pthread_mutex_lock(&nod->lock);
+	if (tbl_replace(&nod->tbl, source, rows, count, revision, &changed,
+			&err) != JJ_OK)
+		log_put(&nod->desc.log->sink, EV_TABLE_BAD,
+			"source=%s revision=%llu reason=%s", source,
+			(unsigned long long)revision, err.message);
+	note_table(nod, nod->tbl.revision, changed);
+	pthread_mutex_unlock(&nod->lock);
+}
+
+void nod_keep_sources(struct nod *nod, const char *const *sources,
+		      uint32_t count, uint64_t revision)
+{
+	uint64_t before;
+	uint32_t changed;
+
+	pthread_mutex_lock(&nod->lock);
+	before = nod->tbl.revision;
+	changed = tbl_keep_sources(&nod->tbl, sources, count, revision);
+	if (changed)
+		tbl_advance(&nod->tbl, revision);
+	note_table(nod, before, changed);
+	pthread_mutex_unlock(&nod->lock);
+}
+
+void nod_advance_table(struct nod *nod, uint64_t revision)
+{
+	uint64_t before;
+
+	pthread_mutex_lock(&nod->lock);
+	before = nod->tbl.revision;
+	tbl_advance(&nod->tbl, revision);
+	note_table(nod, before, 0);
+	pthread_mutex_unlock(&nod->lock);
+}
+
+Jj__Member *nod_own_record(struct nod *nod)
+{
+	Jj__Member msg;
+	Jj__Member *copy = NULL;
+	uint8_t packed[512];
+
+	pthread_mutex_lock(&nod->lock);
+	mbr_to_msg(&nod->mbr.members[0], &msg);
+	if (jj__member__get_packed_size(&msg) <= sizeof(packed))
+		copy = jj__member__unpack(NULL, jj__member__pack(&msg, packed),
+					  packed);
+	pthread_mutex_unlock(&nod->lock);
+	return copy;
+}
+
+void nod_meet(struct nod *nod, Jj__Member *member)
+{
+	const struct mbr_member *known;
+
+	pthread_mutex_lock(&nod->lock);
+	mbr_merge(&nod->mbr, net_now_ms(), &member, 1);
+	known = mbr_find(&nod->mbr, member->id);
+	if (known && member->id != nod->id)
+		mbr_poll(&nod->mbr, net_now_ms(), known);
+	pthread_mutex_unlock(&nod->lock);
+}
+
 /* Builds and publishes a new view when something changed. */
 static void refresh_view(struct nod *nod)
 {
@@ -341,6 +426,7 @@
 			  .data_port = desc->data_port,
 			  .incarnation = nod->incarnation,
 			  .phase = desc->phase },
+		.capacity = desc->members_max,
 		.probe_ms = desc->probe_ms,
 		.suspect_ms = desc->suspect_ms,
 		.gossip_ms = desc->gossip_ms,
@@ -373,6 +459,9 @@
 	nod->desc = *desc;
 	nod->id = rnk_name_id(desc->name);
 	nod->incarnation = net_wall_ms();
+	/* The clock may have been set back since the former life. */
+	if (nod->incarnation <= desc->former_incarnation)
+		nod->incarnation = desc->former_incarnation + 1;
 	nod->started_ms = net_now_ms();
 	nod->ip = net_parse_ip(desc->ip);
 	nod->control_fd = -1;
@@ -383,7 +472,8 @@
 	pthread_cond_init(&nod->pull_wake, NULL);
 	if (frm_key_parse(&nod->key, desc->key, err) != JJ_OK)
 		return JJ_INVALID;
-	if (!frm_replay_init(&nod->replay, 0) || !tbl_init(&nod->tbl, 0))
+	if (!frm_replay_init(&nod->replay, desc->lanes_max) ||
+	    !tbl_init(&nod->tbl, desc->rows_max))
 		return st_fail(err, JJ_SYSTEM, "out of memory");
 	if (init_member(nod, err) != JJ_OK)
 		return err ? err->status : JJ_INVALID;
--- a/src/io/node.h
+++ b/src/io/node.h
@@ -78,6 +78,10 @@
 	uint32_t probe_ms;
 	uint32_t suspect_ms;
 	uint32_t gossip_ms;
+	uint64_t former_incarnation; /* of this name, 0: not known */
+	uint32_t members_max; /* 0: MBR_CAPACITY */
+	uint32_t rows_max; /* 0: TBL_ROWS */
+	uint32_t lanes_max; /* 0: FRM_LANES */
 	struct nod_hooks hooks;
 	struct lio *log;
 };
@@ -140,6 +144,10 @@
 void nod_send(struct nod *nod, struct nod_lane *lane, uint32_t ip,
 	      uint16_t port, Jj__Envelope *env);
 
+/* Counts and logs a message that was not taken. */
+void nod_count_bad(struct nod *nod, enum jj_status status, uint32_t ip,
+		   uint16_t port);
+
 const struct viw *nod_view(struct nod *nod);
 
 /*
@@ -151,6 +159,20 @@
 
 void nod_set_phase(struct nod *nod, Jj__Phase phase);
 
+/* tbl_replace(), tbl_keep_sources() and tbl_advance() on this node's table. */
+void nod_replace_rows(struct nod *nod, const char *source,
+		      const struct tbl_row *rows, uint32_t count,
+		      uint64_t revision);
+void nod_keep_sources(struct nod *nod, const char *const *sources,
+		      uint32_t count, uint64_t revision);
+void nod_advance_table(struct nod *nod, uint64_t revision);
+
+/* This process's member record, on the heap; null: no memory. */
+Jj__Member *nod_own_record(struct nod *nod);
+
+/* Takes note of a member that was read elsewhere and says hello to it. */
+void nod_meet(struct nod *nod, Jj__Member *member);
+
 /* One request on a new connection; null: no answer in time. Free it. */
 Jj__Envelope *nod_ask(struct nod *nod, struct nod_lane *lane, uint32_t ip,
 		      uint16_t port, Jj__Envelope *request,
--- a/src/io/node_internal.h
+++ b/src/io/node_internal.h
@@ -13,10 +13,6 @@
 enum jj_status nod_merge_locked(struct nod *nod, const Jj__Table *table,
 				struct jj_error *err);
 
-/* Counts and logs a message that was not taken. */
-void nod_count_bad(struct nod *nod, enum jj_status status, uint32_t ip,
-		   uint16_t port);
-
 /* Threads; arg is the struct nod. */
 void *nod_run_pull(void *arg);
 void *nod_run_transfer(void *arg);
--- /dev/null
+++ b/src/io/registry.c
@@ -0,0 +1,348 @@
+#include "registry.h"
+
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include "net.h"
+
+/* -- items --------------------------------------------------------------- */
+
+void reg_items_free(struct reg_items *items)
+{
+	size_t i;
+
+	for (i = 0; i < items->count; i++)
+		free(items->items[i].value);
+	free(items->items);
+	memset(items, 0, sizeof(*items));
+}
+
+struct reg_item *reg_items_add(struct reg_items *items)
+{
+	if (items->count == items->room) {
+		size_t room = items->room ? items->room * 2 : 8;
+		struct reg_item *grown =
+			realloc(items->items, room * sizeof(*grown));
+
+		if (!grown)
+			return NULL;
+		items->items = grown;
+		items->room = room;
+	}
+	memset(&items->items[items->count], 0, sizeof(*items->items));
+	return &items->items[items->count++];
+}
+
+/* All pages of a prefix; as_of is that of the first: later ones may be newer.
+ */
+static enum reg_status list_all(struct reg *reg, const char *prefix,
+				struct reg_items *out)
+{
+	const struct reg_store *store = &reg->desc.store;
+	char after[201] = "";
+	int page;
+
+	memset(out, 0, sizeof(*out));
+	for (page = 0; page < REG_PAGES; page++) {
+		uint64_t as_of = out->as_of;
+		enum reg_status status =
+			store->list(store->ctx, prefix, after, out);
+
+		if (page)
+			out->as_of = as_of;
+		if (status != REG_OK || !out->more || !out->count)
+			return status;
+		memcpy(after, out->items[out->count - 1].key, sizeof(after));
+	}
+	return REG_OK;
+}
+
+/* -- retries ------------------------------------------------------------- */
+
+static void sleep_ms(uint32_t ms)
+{
+	struct timespec ts = { ms / 1000, (long)(ms % 1000) * 1000000 };
+
+	nanosleep(&ts, NULL);
+}
+
+/* Delay before the next call; doubles, with jitter against herds. */
+static void back_off(struct reg *reg)
+{
+	uint32_t base = reg->delay_ms ? reg->delay_ms : REG_RETRY_MS;
+
+	if (!reg->failures++)
+		log_put(reg->desc.log, EV_PLATFORM_DOWN, "as_of=%llu",
+			(unsigned long long)reg->as_of);
+	reg->delay_ms = base * 2 < REG_RETRY_MAX_MS ? base * 2 :
+						      REG_RETRY_MAX_MS;
+	sleep_ms(base / 2 + randombytes_uniform(base / 2 + 1));
+}
+
+static void note_answer(struct reg *reg)
+{
+	if (reg->failures)
+		log_put(reg->desc.log, EV_PLATFORM_UP,
+			"failures=%u as_of=%llu", reg->failures,
+			(unsigned long long)reg->as_of);
+	reg->failures = 0;
+	reg->delay_ms = 0;
+}
+
+/* -- members ------------------------------------------------------------- */
+
+static void member_key(const struct reg *reg, const char *name, char *buf,
+		       size_t size)
+{
+	snprintf(buf, size, "%s%s", reg->desc.store.members, name);
+}
+
+static Jj__Member *unpack_member(struct reg *reg, const struct reg_item *item)
+{
+	Jj__Member *member =
+		jj__member__unpack(NULL, item->len, item->value);
+
+	if (!member)
+		log_put(reg->desc.log, EV_ITEM_REFUSED,
+			"key=%s reason=no member record", item->key);
+	return member;
+}
+
+uint64_t reg_former_incarnation(struct reg *reg, const char *name)
+{
+	uint64_t until = net_now_ms() + REG_START_MS;
+	uint64_t former = 0;
+	struct reg_items items;
+	char key[201];
+	size_t i;
+
+	member_key(reg, name, key, sizeof(key));
+	while (list_all(reg, reg->desc.store.members, &items) != REG_OK) {
+		reg_items_free(&items);
+		if (net_now_ms() >= until)
+			return 0;
+		back_off(reg);
+	}
+	note_answer(reg);
+	for (i = 0; i < items.count; i++) {
+		Jj__Member *member;
+
+		if (strcmp(items.items[i].key, key))
+			continue;
+		member = unpack_member(reg, &items.items[i]);
+		if (member)
+			former = member->incarnation;
+		if (member)
+			jj__member__free_unpacked(member, NULL);
+	}
+	reg_items_free(&items);
+	return former;
+}
+
+static enum reg_status enter(struct reg *reg)
+{
+	const struct reg_store *store = &reg->desc.store;
+	Jj__Member *member = nod_own_record(reg->nod);
+	enum reg_status status = REG_OK;
+	uint8_t packed[512];
+	char key[201];
+	size_t len = 0;
+
+	if (!member)
+		return REG_REFUSED;
+	if (jj__member__get_packed_size(member) <= sizeof(packed))
+		len = jj__member__pack(member, packed);
+	jj__member__free_unpacked(member, NULL);
+	if (!reg->lease)
+		status = store->lease(store->ctx, reg->desc.lease_ms,
+				      &reg->lease);
+	if (status != REG_OK)
+		return status;
+	member_key(reg, reg->nod->desc.name, key, sizeof(key));
+	status = store->put(store->ctx, key, packed, len, reg->lease);
+	if (status == REG_ABSENT)
+		reg->lease = 0;
+	if (status != REG_OK)
+		return status;
+	reg->entered = 1;
+	reg->renew_at = net_now_ms() + reg->desc.lease_ms / 3;
+	log_put(reg->desc.log, EV_REGISTERED, "lease=%llu",
+		(unsigned long long)reg->lease);
+	return REG_OK;
+}
+
+static enum reg_status meet_members(struct reg *reg)
+{
+	struct reg_items items;
+	enum reg_status status =
+		list_all(reg, reg->desc.store.members, &items);
+	size_t i;
+
+	for (i = 0; status == REG_OK && i < items.count; i++) {
+		Jj__Member *member = unpack_member(reg, &items.items[i]);
+
+		if (!member)
+			continue;
+		nod_meet(reg->nod, member);
+		jj__member__free_unpacked(member, NULL);
+	}
+	reg_items_free(&items);
+	if (status == REG_OK)
+		reg->listed = 1;
+	return status;
+}
+
+static enum reg_status renew(struct reg *reg)
+{
+	const struct reg_store *store = &reg->desc.store;
+	enum reg_status status = store->renew(store->ctx, reg->lease);
+
+	if (status == REG_OK)
+		reg->renew_at = net_now_ms() + reg->desc.lease_ms / 3;
+	if (status != REG_ABSENT)
+		return status;
+	log_put(reg->desc.log, EV_LEASE_LOST, "lease=%llu",
+		(unsigned long long)reg->lease);
+	reg->lease = 0;
+	reg->entered = 0;
+	return REG_OK;
+}
+
+/* -- operators' items ---------------------------------------------------- */
+
+static void apply_item(struct reg *reg, const struct reg_item *item)
+{
+	const struct reg_store *store = &reg->desc.store;
+	struct tbl_row *rows = NULL;
+	uint32_t count = 0;
+
+	if (!item->removed &&
+	    store->rows(store->ctx, item, &rows, &count, reg->desc.log) !=
+		    JJ_OK)
+		return;
+	nod_replace_rows(reg->nod, item->key, rows, count, item->revision);
+	free(rows);
+}
+
+/*
+ * The table's revision is that of its newest item, which all processes agree
+ * on; the store's own rises with every process's entry.
+ */
+static void note_items(struct reg *reg, const struct reg_items *items)
+{
+	uint64_t newest = 0;
+	size_t i;
+
+	for (i = 0; i < items->count; i++)
+		if (items->items[i].revision > newest)
+			newest = items->items[i].revision;
+	nod_advance_table(reg->nod, newest);
+	if (items->as_of > reg->as_of)
+		reg->as_of = items->as_of;
+}
+
+static enum reg_status read_table(struct reg *reg)
+{
+	const char *sources[REG_SOURCES];
+	struct reg_items items;
+	enum reg_status status = list_all(reg, reg->desc.store.table, &items);
+	size_t i;
+
+	if (status == REG_OK && items.count > REG_SOURCES) {
+		log_put(reg->desc.log, EV_ITEM_REFUSED,
+			"key=%s reason=over %d items", items.items[0].key,
+			REG_SOURCES);
+		items.count = REG_SOURCES;
+	}
+	for (i = 0; status == REG_OK && i < items.count; i++) {
+		apply_item(reg, &items.items[i]);
+		sources[i] = items.items[i].key;
+	}
+	if (status == REG_OK) {
+		nod_keep_sources(reg->nod, sources, (uint32_t)items.count,
+				 items.as_of);
+		note_items(reg, &items);
+	}
+	reg_items_free(&items);
+	return status;
+}
+
+static enum reg_status watch_table(struct reg *reg)
+{
+	const struct reg_store *store = &reg->desc.store;
+	uint64_t now = net_now_ms();
+	uint64_t wait = reg->renew_at > now ? reg->renew_at - now : 1;
+	struct reg_items items = { 0 };
+	enum reg_status status;
+	size_t i;
+
+	if (wait > reg->desc.watch_ms)
+		wait = reg->desc.watch_ms;
+	status = store->watch(store->ctx, store->table, reg->as_of,
+			      (uint32_t)wait, &items);
+	for (i = 0; status == REG_OK && i < items.count; i++)
+		apply_item(reg, &items.items[i]);
+	if (status == REG_OK)
+		note_items(reg, &items);
+	reg_items_free(&items);
+	if (status != REG_ABSENT)
+		return status;
+	log_put(reg->desc.log, EV_HISTORY_LOST, "as_of=%llu",
+		(unsigned long long)reg->as_of);
+	return read_table(reg);
+}
+
+/* -- thread -------------------------------------------------------------- */
+
+/* The most urgent call that is due. */
+static enum reg_status next_call(struct reg *reg)
+{
+	if (!reg->as_of)
+		return read_table(reg);
+	if (!reg->entered)
+		return enter(reg);
+	if (!reg->listed)
+		return meet_members(reg);
+	if (net_now_ms() >= reg->renew_at)
+		return renew(reg);
+	return watch_table(reg);
+}
+
+static void *run_registry(void *arg)
+{
+	struct reg *reg = arg;
+
+	while (!reg->stopping) {
+		if (next_call(reg) == REG_OK)
+			note_answer(reg);
+		else if (!reg->stopping)
+			back_off(reg);
+	}
+	return NULL;
+}
+
+void reg_init(struct reg *reg, const struct reg_desc *desc)
+{
+	memset(reg, 0, sizeof(*reg));
+	reg->desc = *desc;
+}
+
+enum jj_status reg_start(struct reg *reg, struct nod *nod, struct jj_error *err)
+{
+	reg->nod = nod;
+	if (pthread_create(&reg->thread, NULL, run_registry, reg))
+		return st_fail(err, JJ_SYSTEM, "no thread can be started");
+	return JJ_OK;
+}
+
+void reg_finish(struct reg *reg)
+{
+	const struct reg_store *store = &reg->desc.store;
+
+	reg->stopping = 1;
+	pthread_join(reg->thread, NULL);
+	reg->stopping = 0;
+	if (reg->lease)
+		store->end(store->ctx, reg->lease);
+}
--- /dev/null
+++ b/src/io/registry.h
@@ -0,0 +1,112 @@
+/*
+ * registry - how the fleet finds itself and its table on the platform
+ *
+ * For platforms whose store keeps what operators write, item by item, instead
+ * of the fleet's own table value (see conf.h). One thread:
+ *
+ *  - enters this process under a lease and renews it; an entry that was taken
+ *    away is written again. Entries only serve processes that start: who is
+ *    alive is for the membership to say.
+ *  - reads the operators' items once and then waits on one watch. Rows are
+ *    replaced item by item; a list after a gap removes what is not there any
+ *    more. Revisions only rise: an older answer changes nothing.
+ *
+ * What it costs: a call a watch_s, a renewal in a third of the lease, and one
+ * call a change. While the store is away the fleet tells itself of changes by
+ * revision, and calls are retried after an exponential delay with jitter.
+ */
+#ifndef JUJUBE_REGISTRY_H
+#define JUJUBE_REGISTRY_H
+
+#include "node.h"
+
+#define REG_RETRY_MS 100 /* first delay after a failed call */
+#define REG_RETRY_MAX_MS 1600
+#define REG_START_MS 1500 /* longest wait for the store at a start */
+#define REG_PAGES 64 /* of one list */
+#define REG_SOURCES 256 /* items that operators may have written */
+
+enum reg_status {
+	REG_OK,
+	REG_ABSENT, /* no such item, lease or history */
+	REG_CHANGED, /* a condition does not hold */
+	REG_REFUSED, /* not done: busy, or not allowed */
+	REG_UNKNOWN, /* no answer: it may have been done, or may yet */
+};
+
+struct reg_item {
+	char key[201];
+	uint8_t *value; /* on the heap */
+	size_t len;
+	uint64_t revision;
+	int removed;
+};
+
+struct reg_items {
+	struct reg_item *items; /* on the heap */
+	size_t count;
+	size_t room;
+	uint64_t as_of; /* revision of the store */
+	int more; /* another page follows the last key */
+};
+
+/* The store's calls; ctx belongs to one thread. */
+struct reg_store {
+	enum reg_status (*list)(void *ctx, const char *prefix,
+				const char *after, struct reg_items *out);
+	/* Waits for changes after a revision; REG_ABSENT: history dropped. */
+	enum reg_status (*watch)(void *ctx, const char *prefix, uint64_t after,
+				 uint32_t wait_ms, struct reg_items *out);
+	enum reg_status (*put)(void *ctx, const char *key, const uint8_t *value,
+			       size_t len, uint64_t lease);
+	enum reg_status (*lease)(void *ctx, uint32_t ttl_ms, uint64_t *lease);
+	enum reg_status (*renew)(void *ctx, uint64_t lease);
+	enum reg_status (*end)(void *ctx, uint64_t lease);
+	/* Rows that an item stands for, on the heap. */
+	enum jj_status (*rows)(void *ctx, const struct reg_item *item,
+			       struct tbl_row **rows, uint32_t *count,
+			       const struct log_sink *log);
+	const char *members; /* prefix of the fleet's own entries */
+	const char *table; /* prefix of the operators' items */
+	void *ctx;
+};
+
+struct reg_desc {
+	struct reg_store store;
+	uint32_t lease_ms;
+	uint32_t watch_ms;
+	const struct log_sink *log;
+};
+
+struct reg {
+	struct reg_desc desc;
+	struct nod *nod; /* null until reg_start() */
+	pthread_t thread;
+	_Atomic int stopping;
+	uint64_t lease; /* 0: none */
+	uint64_t renew_at; /* ms */
+	int entered;
+	int listed; /* members were read after the entry was written */
+	uint64_t as_of; /* operators' items are known up to it, 0: not yet */
+	uint32_t delay_ms;
+	uint32_t failures; /* in a row */
+};
+
+void reg_items_free(struct reg_items *items);
+/* Room for one more item, zeroed; null: no memory. */
+struct reg_item *reg_items_add(struct reg_items *items);
+
+void reg_init(struct reg *reg, const struct reg_desc *desc);
+
+/*
+ * Incarnation that a former life of this process has entered, 0: none known.
+ * Waits REG_START_MS at most for the store.
+ */
+uint64_t reg_former_incarnation(struct reg *reg, const char *name);
+
+enum jj_status reg_start(struct reg *reg, struct nod *nod,
+			 struct jj_error *err);
+/* Ends the thread and takes the entry back. */
+void reg_finish(struct reg *reg);
+
+#endif
