--- a/bench/bench_relay.c
+++ b/bench/bench_relay.c
@@ -62,6 +62,8 @@
 	return recvmmsg(fd, b->msgs, BATCH, MSG_DONTWAIT, NULL);
 }
 
+static const JJ_ATOMIC(uint64_t) incarnation = 1;
+
 /* Relays from port to port + 1 on the same address, as told by work. */
 struct relay {
 	int fd;
@@ -169,7 +171,9 @@
 	struct relay bare = { .to = 7802, .rng = seed };
 	struct relay balancer = { .to = 7804,
 				  .rt = &rt,
-				  .out = { .key = &key, .sender = 1 },
+				  .out = { .key = &key,
+					   .sender = 1,
+					   .incarnation = &incarnation },
 				  .rng = seed };
 	double a;
 	double b;
--- a/gen/jujube.pb-c.c
+++ b/gen/jujube.pb-c.c
@@ -1371,7 +1371,7 @@
   (ProtobufCMessageInit) jj__member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jj__row__field_descriptors[16] =
+static const ProtobufCFieldDescriptor jj__row__field_descriptors[17] =
 {
   {
     "kind",
@@ -1565,9 +1565,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "aim_ms",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Jj__Row, aim_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jj__row__field_indices_by_name[] = {
   3,   /* field[3] = address */
+  16,   /* field[16] = aim_ms */
   13,   /* field[13] = change_id */
   14,   /* field[14] = cold_per_ks */
   7,   /* field[7] = cold_slots */
@@ -1587,7 +1600,7 @@
 static const ProtobufCIntRange jj__row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor jj__row__descriptor =
 {
@@ -1597,7 +1610,7 @@
   "Jj__Row",
   "jj",
   sizeof(Jj__Row),
-  16,
+  17,
   jj__row__field_descriptors,
   jj__row__field_indices_by_name,
   1,  jj__row__number_ranges,
--- a/gen/jujube.pb-c.h
+++ b/gen/jujube.pb-c.h
@@ -189,10 +189,17 @@
    * service rows: flows idle for longer are
    */
   uint32_t flow_idle_ms;
+  /*
+   * forgotten, 0: by the settings
+   */
+  /*
+   * route rows: callers expect an answer within it,
+   */
+  uint32_t aim_ms;
 };
 #define JJ__ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jj__row__descriptor) \
-    , JJ__KIND__KIND_NONE, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, JJ__ROW_STATE__STATE_IN, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , JJ__KIND__KIND_NONE, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, JJ__ROW_STATE__STATE_IN, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
--- a/gen/settings.pb-c.c
+++ b/gen/settings.pb-c.c
@@ -502,6 +502,51 @@
   assert(message->base.descriptor == &jj__balancer_settings__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   jj__relay_settings__init
+                     (Jj__RelaySettings         *message)
+{
+  static const Jj__RelaySettings init_value = JJ__RELAY_SETTINGS__INIT;
+  *message = init_value;
+}
+size_t jj__relay_settings__get_packed_size
+                     (const Jj__RelaySettings *message)
+{
+  assert(message->base.descriptor == &jj__relay_settings__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jj__relay_settings__pack
+                     (const Jj__RelaySettings *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jj__relay_settings__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jj__relay_settings__pack_to_buffer
+                     (const Jj__RelaySettings *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jj__relay_settings__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jj__RelaySettings *
+       jj__relay_settings__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jj__RelaySettings *)
+     protobuf_c_message_unpack (&jj__relay_settings__descriptor,
+                                allocator, len, data);
+}
+void   jj__relay_settings__free_unpacked
+                     (Jj__RelaySettings *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jj__relay_settings__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   jj__agent_settings__init
                      (Jj__AgentSettings         *message)
 {
@@ -1321,22 +1366,23 @@
   (ProtobufCMessageInit) jj__target_section__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-char jj__ingress_section__address__default_value[] = "";
 char jj__ingress_section__ready__default_value[] = "";
 char jj__ingress_section__callers__default_value[] = "";
+static const uint32_t jj__ingress_section__threads__default_value = 1u;
 static const uint32_t jj__ingress_section__max_flows__default_value = 16384u;
+static const uint32_t jj__ingress_section__flow_idle_s__default_value = 65u;
 static const uint32_t jj__ingress_section__drain_ms__default_value = 5000u;
-static const ProtobufCFieldDescriptor jj__ingress_section__field_descriptors[5] =
+static const ProtobufCFieldDescriptor jj__ingress_section__field_descriptors[7] =
 {
   {
     "address",
     1,
-    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_LABEL_REQUIRED,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
     offsetof(Jj__IngressSection, address),
     NULL,
-    &jj__ingress_section__address__default_value,
+    NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
@@ -1365,10 +1411,22 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "max_flows",
+    "threads",
     4,
     PROTOBUF_C_LABEL_OPTIONAL,
     PROTOBUF_C_TYPE_UINT32,
+    offsetof(Jj__IngressSection, has_threads),
+    offsetof(Jj__IngressSection, threads),
+    NULL,
+    &jj__ingress_section__threads__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_flows",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
     offsetof(Jj__IngressSection, has_max_flows),
     offsetof(Jj__IngressSection, max_flows),
     NULL,
@@ -1376,9 +1434,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "flow_idle_s",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Jj__IngressSection, has_flow_idle_s),
+    offsetof(Jj__IngressSection, flow_idle_s),
+    NULL,
+    &jj__ingress_section__flow_idle_s__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "drain_ms",
-    5,
+    7,
     PROTOBUF_C_LABEL_OPTIONAL,
     PROTOBUF_C_TYPE_UINT32,
     offsetof(Jj__IngressSection, has_drain_ms),
@@ -1392,14 +1462,16 @@
 static const unsigned jj__ingress_section__field_indices_by_name[] = {
   0,   /* field[0] = address */
   2,   /* field[2] = callers */
-  4,   /* field[4] = drain_ms */
-  3,   /* field[3] = max_flows */
+  6,   /* field[6] = drain_ms */
+  5,   /* field[5] = flow_idle_s */
+  4,   /* field[4] = max_flows */
   1,   /* field[1] = ready */
+  3,   /* field[3] = threads */
 };
 static const ProtobufCIntRange jj__ingress_section__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor jj__ingress_section__descriptor =
 {
@@ -1409,7 +1481,7 @@
   "Jj__IngressSection",
   "jj",
   sizeof(Jj__IngressSection),
-  5,
+  7,
   jj__ingress_section__field_descriptors,
   jj__ingress_section__field_indices_by_name,
   1,  jj__ingress_section__number_ranges,
@@ -1540,9 +1612,9 @@
   NULL,NULL,NULL    /* reserved[123] */
 };
 char jj__registry_section__address__default_value[] = "";
-static const uint32_t jj__registry_section__lease_s__default_value = 60u;
+static const uint32_t jj__registry_section__lease_s__default_value = 20u;
 static const uint32_t jj__registry_section__watch_s__default_value = 20u;
-static const uint32_t jj__registry_section__timeout_ms__default_value = 1000u;
+static const uint32_t jj__registry_section__timeout_ms__default_value = 500u;
 static const ProtobufCFieldDescriptor jj__registry_section__field_descriptors[4] =
 {
   {
@@ -1659,7 +1731,7 @@
   (ProtobufCMessageInit) jj__log_section__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jj__balancer_settings__field_descriptors[8] =
+static const ProtobufCFieldDescriptor jj__balancer_settings__field_descriptors[6] =
 {
   {
     "identity",
@@ -1688,7 +1760,7 @@
   {
     "platform",
     3,
-    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_LABEL_REQUIRED,
     PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
     offsetof(Jj__BalancerSettings, platform),
@@ -1712,7 +1784,7 @@
   {
     "admin",
     5,
-    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_LABEL_REQUIRED,
     PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
     offsetof(Jj__BalancerSettings, admin),
@@ -1733,13 +1805,68 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned jj__balancer_settings__field_indices_by_name[] = {
+  4,   /* field[4] = admin */
+  1,   /* field[1] = fleet */
+  3,   /* field[3] = forward */
+  0,   /* field[0] = identity */
+  5,   /* field[5] = log */
+  2,   /* field[2] = platform */
+};
+static const ProtobufCIntRange jj__balancer_settings__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor jj__balancer_settings__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jj.BalancerSettings",
+  "BalancerSettings",
+  "Jj__BalancerSettings",
+  "jj",
+  sizeof(Jj__BalancerSettings),
+  6,
+  jj__balancer_settings__field_descriptors,
+  jj__balancer_settings__field_indices_by_name,
+  1,  jj__balancer_settings__number_ranges,
+  (ProtobufCMessageInit) jj__balancer_settings__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jj__relay_settings__field_descriptors[5] =
+{
+  {
+    "identity",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Jj__RelaySettings, identity),
+    &jj__identity_section__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fleet",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Jj__RelaySettings, fleet),
+    &jj__fleet_section__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "ingress",
-    7,
-    PROTOBUF_C_LABEL_OPTIONAL,
+    3,
+    PROTOBUF_C_LABEL_REQUIRED,
     PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Jj__BalancerSettings, ingress),
+    offsetof(Jj__RelaySettings, ingress),
     &jj__ingress_section__descriptor,
     NULL,
     0,             /* flags */
@@ -1747,45 +1874,54 @@
   },
   {
     "registry",
-    8,
-    PROTOBUF_C_LABEL_OPTIONAL,
+    4,
+    PROTOBUF_C_LABEL_REQUIRED,
     PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Jj__BalancerSettings, registry),
+    offsetof(Jj__RelaySettings, registry),
     &jj__registry_section__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "log",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Jj__RelaySettings, log),
+    &jj__log_section__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const unsigned jj__balancer_settings__field_indices_by_name[] = {
-  4,   /* field[4] = admin */
+static const unsigned jj__relay_settings__field_indices_by_name[] = {
   1,   /* field[1] = fleet */
-  3,   /* field[3] = forward */
   0,   /* field[0] = identity */
-  6,   /* field[6] = ingress */
-  5,   /* field[5] = log */
-  2,   /* field[2] = platform */
-  7,   /* field[7] = registry */
+  2,   /* field[2] = ingress */
+  4,   /* field[4] = log */
+  3,   /* field[3] = registry */
 };
-static const ProtobufCIntRange jj__balancer_settings__number_ranges[1 + 1] =
+static const ProtobufCIntRange jj__relay_settings__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 5 }
 };
-const ProtobufCMessageDescriptor jj__balancer_settings__descriptor =
+const ProtobufCMessageDescriptor jj__relay_settings__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "jj.BalancerSettings",
-  "BalancerSettings",
-  "Jj__BalancerSettings",
+  "jj.RelaySettings",
+  "RelaySettings",
+  "Jj__RelaySettings",
   "jj",
-  sizeof(Jj__BalancerSettings),
-  8,
-  jj__balancer_settings__field_descriptors,
-  jj__balancer_settings__field_indices_by_name,
-  1,  jj__balancer_settings__number_ranges,
-  (ProtobufCMessageInit) jj__balancer_settings__init,
+  sizeof(Jj__RelaySettings),
+  5,
+  jj__relay_settings__field_descriptors,
+  jj__relay_settings__field_indices_by_name,
+  1,  jj__relay_settings__number_ranges,
+  (ProtobufCMessageInit) jj__relay_settings__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor jj__agent_settings__field_descriptors[6] =
--- a/gen/settings.pb-c.h
+++ b/gen/settings.pb-c.h
@@ -26,6 +26,7 @@
 typedef struct Jj__RegistrySection Jj__RegistrySection;
 typedef struct Jj__LogSection Jj__LogSection;
 typedef struct Jj__BalancerSettings Jj__BalancerSettings;
+typedef struct Jj__RelaySettings Jj__RelaySettings;
 typedef struct Jj__AgentSettings Jj__AgentSettings;
 typedef struct Jj__OperatorSection Jj__OperatorSection;
 typedef struct Jj__OperatorSettings Jj__OperatorSettings;
@@ -179,7 +180,7 @@
 {
   ProtobufCMessage base;
   /*
-   * ip:port, "": services' own
+   * ip:port that the fabric uses
    */
   char *address;
   /*
@@ -193,17 +194,20 @@
   /*
    * at its port, "": address's
    */
+  protobuf_c_boolean has_threads;
+  uint32_t threads;
   protobuf_c_boolean has_max_flows;
   uint32_t max_flows;
+  protobuf_c_boolean has_flow_idle_s;
+  uint32_t flow_idle_s;
   protobuf_c_boolean has_drain_ms;
   uint32_t drain_ms;
 };
-extern char jj__ingress_section__address__default_value[];
 extern char jj__ingress_section__ready__default_value[];
 extern char jj__ingress_section__callers__default_value[];
 #define JJ__INGRESS_SECTION__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jj__ingress_section__descriptor) \
-    , jj__ingress_section__address__default_value, jj__ingress_section__ready__default_value, jj__ingress_section__callers__default_value, 0, 16384u, 0, 5000u }
+    , NULL, jj__ingress_section__ready__default_value, jj__ingress_section__callers__default_value, 0, 1u, 0, 16384u, 0, 65u, 0, 5000u }
 
 
 struct  Jj__EgressSection
@@ -261,7 +265,7 @@
 extern char jj__registry_section__address__default_value[];
 #define JJ__REGISTRY_SECTION__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jj__registry_section__descriptor) \
-    , jj__registry_section__address__default_value, 0, 60u, 0, 20u, 0, 1000u }
+    , jj__registry_section__address__default_value, 0, 20u, 0, 20u, 0, 500u }
 
 
 struct  Jj__LogSection
@@ -284,12 +288,24 @@
   Jj__ForwardSection *forward;
   Jj__AdminSection *admin;
   Jj__LogSection *log;
-  Jj__IngressSection *ingress;
-  Jj__RegistrySection *registry;
 };
 #define JJ__BALANCER_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jj__balancer_settings__descriptor) \
-    , NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL }
+    , NULL, NULL, NULL, NULL, NULL, NULL }
+
+
+struct  Jj__RelaySettings
+{
+  ProtobufCMessage base;
+  Jj__IdentitySection *identity;
+  Jj__FleetSection *fleet;
+  Jj__IngressSection *ingress;
+  Jj__RegistrySection *registry;
+  Jj__LogSection *log;
+};
+#define JJ__RELAY_SETTINGS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jj__relay_settings__descriptor) \
+    , NULL, NULL, NULL, NULL, NULL }
 
 
 struct  Jj__AgentSettings
@@ -545,6 +561,25 @@
 void   jj__balancer_settings__free_unpacked
                      (Jj__BalancerSettings *message,
                       ProtobufCAllocator *allocator);
+/* Jj__RelaySettings methods */
+void   jj__relay_settings__init
+                     (Jj__RelaySettings         *message);
+size_t jj__relay_settings__get_packed_size
+                     (const Jj__RelaySettings   *message);
+size_t jj__relay_settings__pack
+                     (const Jj__RelaySettings   *message,
+                      uint8_t             *out);
+size_t jj__relay_settings__pack_to_buffer
+                     (const Jj__RelaySettings   *message,
+                      ProtobufCBuffer     *buffer);
+Jj__RelaySettings *
+       jj__relay_settings__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jj__relay_settings__free_unpacked
+                     (Jj__RelaySettings *message,
+                      ProtobufCAllocator *allocator);
 /* Jj__AgentSettings methods */
 void   jj__agent_settings__init
                      (Jj__AgentSettings         *message);
@@ -637,6 +672,9 @@
 typedef void (*Jj__BalancerSettings_Closure)
                  (const Jj__BalancerSettings *message,
                   void *closure_data);
+typedef void (*Jj__RelaySettings_Closure)
+                 (const Jj__RelaySettings *message,
+                  void *closure_data);
 typedef void (*Jj__AgentSettings_Closure)
                  (const Jj__AgentSettings *message,
                   void *closure_data);
@@ -663,6 +701,7 @@
 extern const ProtobufCMessageDescriptor jj__registry_section__descriptor;
 extern const ProtobufCMessageDescriptor jj__log_section__descriptor;
 extern const ProtobufCMessageDescriptor jj__balancer_settings__descriptor;
+extern const ProtobufCMessageDescriptor jj__relay_settings__descriptor;
 extern const ProtobufCMessageDescriptor jj__agent_settings__descriptor;
 extern const ProtobufCMessageDescriptor jj__operator_section__descriptor;
 extern const ProtobufCMessageDescriptor jj__operator_settings__descriptor;
--- a/include/jujube/flow.h
+++ b/include/jujube/flow.h
@@ -13,7 +13,8 @@
  *     (leaving, cold, silent, full) and else passes it on;
  *  3. a target that does not answer within FLW_ANSWER_US, or returns the
  *     packet, loses it to another agent;
- *  4. when no target can take it, it is refused at once with a reset.
+ *  4. when no target has room it waits for the caller's next copy, or is
+ *     refused with a reset (see flow_place.c).
  * When the target answers, its first sequence number tells its flow from that
  * of any other target that was given a copy. The agent tells home and balancer
  * that it holds the flow.
@@ -22,9 +23,11 @@
  * has sent; else to the holder that the home knows; else it visits the agents
  * of the service in a circle, until one holds it. An agent that was started
  * lately does not know what its target holds: it tries the target once, and
- * passes on what comes back. A packet that nobody holds is dropped: a reset is
- * sent only for openings, for flows that the target has forgotten, and for
- * flows whose route was removed.
+ * passes on what comes back. A packet that has visited every agent of the
+ * service that may still hold flows belongs to a flow that has ended, and its
+ * caller is reset, so that it need not wait for its deadline. Resets are sent
+ * only then, for openings, for flows that the target has forgotten, and for
+ * flows whose route was removed; when in doubt a packet is dropped.
  *
  * Thread safe: state is in shards by flow key, each under its own lock; the
  * peers have another, taken after a shard's. Hooks are called with a shard
@@ -53,6 +56,15 @@
 /* The caller's round trip is under 20 ms; it has given up after so long. */
 #define FLW_HALF_OPEN_US 2000000
 #define FLW_CLOSED_US 3000000 /* late copies of the last packets */
+#define FLW_COPIES 3 /* openings that a caller sends for one attempt */
+#define FLW_WAITING 64 /* openings that wait for room at one agent */
+/*
+ * A caller's three attempts together wait for a quarter of the time in which
+ * it expects the answer; the rest is for the work itself.
+ */
+#define FLW_WAIT_SHARE 12
+#define FLW_WAIT_DEFAULT_US 20000 /* where the route names no such time */
+#define FLW_TRIALS 32 /* packets tried at the target at a time */
 #define FLW_SPAN (1u << 24) /* bytes of answers on one flow */
 #define FLW_LOAD_US 20000 /* least time between load reports */
 #define FLW_LOAD_MAX_US 300000 /* longest time between load reports */
@@ -178,6 +190,25 @@
 	struct map_cell *exception_cells;
 };
 
+/* A packet of a search that was tried at the target. */
+struct flw_trial {
+	uint64_t key;
+	uint64_t visited[FLW_SEARCH_MAX];
+	uint32_t count;
+};
+
+/* An opening that waits for room; what its packet carried. */
+struct flw_waiting {
+	uint64_t since; /* 0: free */
+	uint64_t until;
+	uint64_t key;
+	uint64_t via_id;
+	uint32_t via_ip;
+	uint16_t via_port;
+	uint8_t opening_len;
+	uint8_t opening[FLW_OPENING_MAX];
+};
+
 struct flw_peer {
 	uint64_t id; /* 0: free */
 	uint32_t load;
@@ -218,6 +249,14 @@
 	JJ_ATOMIC(int) stopping;
 	pthread_mutex_t target_lock; /* the last to be taken */
 	struct flw_target target;
+	JJ_ATOMIC(int)
+	settled; /* all members were heard of: see flw_settle() */
+	pthread_mutex_t trial_lock; /* taken after a shard's */
+	struct flw_trial trials[FLW_TRIALS];
+	uint32_t next_trial;
+	pthread_mutex_t wait_lock;
+	struct flw_waiting waiting[FLW_WAITING];
+	JJ_ATOMIC(uint32_t) waiting_count;
 	pthread_mutex_t peer_lock;
 	struct flw_peer peers[FLW_PEERS];
 	uint64_t next_tick;
@@ -273,6 +312,12 @@
 /* Due work; call every FLW_TICK_US or so. */
 void flw_tick(const struct flw_call *call);
 
+/*
+ * This process has heard of every member there is, dead ones included, so that
+ * a search which found nothing proves something.
+ */
+void flw_settle(struct flw *flw);
+
 /* No new flows from here on. */
 void flw_stop(struct flw *flw);
 
--- a/include/jujube/frame.h
+++ b/include/jujube/frame.h
@@ -34,7 +34,7 @@
 struct frm_out {
 	const struct frm_key *key;
 	uint64_t sender;
-	uint64_t incarnation;
+	const JJ_ATOMIC(uint64_t) * incarnation; /* of the process */
 	uint32_t lane;
 	uint64_t counter;
 	const JJ_ATOMIC(uint64_t) * revision;
--- a/include/jujube/member.h
+++ b/include/jujube/member.h
@@ -170,6 +170,9 @@
 /* Tells the module which table revision this process holds now. */
 void mbr_set_revision(struct mbr *mbr, uint64_t revision);
 
+/* This process counts as started anew, as if with this incarnation. */
+void mbr_set_incarnation(struct mbr *mbr, uint64_t incarnation);
+
 /* Changes this process's phase and spreads it. */
 void mbr_set_phase(struct mbr *mbr, Jj__Phase phase);
 
--- a/include/jujube/metric.h
+++ b/include/jujube/metric.h
@@ -41,6 +41,7 @@
 	X(CONTROL_OUT, "control_out", "control bytes sent")                    \
 	X(PLATFORM_CALLS, "platform_calls", "calls to the platform")           \
 	X(PULLS, "pulls", "state transfers asked for")                         \
+	X(DEFERRED, "deferred", "openings left to the caller's next copy")     \
 	X(RESETS, "resets", "resets sent to callers")                          \
 	X(TRIED, "tried", "packets tried at a target that may hold them")      \
 	X(UNHELD, "unheld", "packets of flows that nobody holds")              \
--- a/include/jujube/view.h
+++ b/include/jujube/view.h
@@ -13,6 +13,9 @@
 #include "jujube/rank.h"
 #include "jujube/table.h"
 
+/* Flows of the platform's callers live for 60 s at most. */
+#define VIW_ABSENT_MS 65000
+
 struct viw_agent {
 	uint64_t id;
 	uint64_t incarnation;
@@ -38,6 +41,7 @@
 	uint16_t port;
 	uint8_t former; /* flows opened earlier may still be there */
 	uint32_t weight;
+	uint32_t aim_ms; /* see table.h, 0: not given */
 	uint32_t service; /* position in services */
 };
 
@@ -50,6 +54,8 @@
 	uint32_t first; /* its agents: agents[first .. first + count) */
 	uint32_t count;
 	uint64_t digest; /* of everything that ranking depends on */
+	/* Agents that are gone lately, and whose targets may hold flows. */
+	uint32_t absent;
 	uint32_t cold_per_ks; /* see table.h, 0: not limited */
 	uint32_t flow_idle_ms; /* 0: by the settings */
 };
@@ -119,6 +125,9 @@
 int viw_leads_to(const struct viw *view, uint32_t ip, uint16_t port,
 		 const struct viw_service *service, int former);
 
+/* Time that callers of an address expect an answer in, 0: not given. */
+uint32_t viw_aim_ms(const struct viw *view, uint32_t ip, uint16_t port);
+
 /* The next service after previous (null: first) that a route led to. */
 const struct viw_service *viw_former(const struct viw *view, uint32_t ip,
 				     uint16_t port,
--- a/src/bin/jujube_agentd.c
+++ b/src/bin/jujube_agentd.c
@@ -153,7 +153,7 @@
 				   &egress.caller_port, &err),
 		 &err);
 	dmn_describe_node(&node, s->identity, s->fleet);
-	rld_begin(&agent->rld, s->registry, &node, &hooks);
+	rld_begin(&agent->rld, s->registry, &agent->log, &hooks);
 	dmn_must(nod_init(&agent->nod, &node, &err), &err);
 	dmn_must(egr_init(&agent->egr, &egress, &agent->nod, &err), &err);
 	rld_listen(&agent->rld, &agent->nod, s->egress->ready,
--- a/src/bin/jujubed.c
+++ b/src/bin/jujubed.c
@@ -6,9 +6,7 @@
 #include "fwd.h"
 #include "keep.h"
 #include "kv.h"
-#include "ingress.h"
 #include "net.h"
-#include "relayd.h"
 
 struct balancer {
 	struct nod nod;
@@ -29,96 +27,6 @@
 	balancer->drain_s = settings->forward->drain_s;
 }
 
-/* -- relaying for the users' platform ------------------------------------ */
-
-struct relay_balancer {
-	struct nod nod;
-	struct ing ing;
-	struct rld rld;
-	struct lio log;
-	_Atomic uint32_t drain_ms;
-};
-
-static int relay_ready(void *ctx)
-{
-	struct relay_balancer *balancer = ctx;
-
-	return ing_ready(&balancer->ing);
-}
-
-static void start_relay(struct relay_balancer *balancer,
-			const Jj__BalancerSettings *s)
-{
-	struct nod_desc node = { .role = JJ__ROLE__ROLE_BALANCER,
-				 .log = &balancer->log };
-	struct rld_hooks hooks = { .ready = relay_ready, .ctx = balancer };
-	struct ing_desc ingress = {
-		.threads = s->forward->threads,
-		.data_ip = net_parse_ip(s->identity->ip),
-		.data_port = (uint16_t)s->identity->data_port,
-		.cache = { .max_flows = s->ingress->max_flows,
-			   .flow_idle_s = s->forward->flow_idle_s },
-		.codec = pf_codec(),
-	};
-	struct jj_error err;
-	uint32_t ignored;
-
-	dmn_must(tbl_parse_address(s->ingress->address, &ingress.ip,
-				   &ingress.port, &err),
-		 &err);
-	ingress.caller_port = ingress.port;
-	if (*s->ingress->callers)
-		dmn_must(tbl_parse_address(s->ingress->callers, &ignored,
-					   &ingress.caller_port, &err),
-			 &err);
-	dmn_describe_node(&node, s->identity, s->fleet);
-	rld_begin(&balancer->rld, s->registry, &node, &hooks);
-	dmn_must(nod_init(&balancer->nod, &node, &err), &err);
-	dmn_must(ing_init(&balancer->ing, &ingress, &balancer->nod, &err),
-		 &err);
-	rld_listen(&balancer->rld, &balancer->nod, s->ingress->ready, "");
-	dmn_must(nod_start(&balancer->nod, &err), &err);
-	dmn_must(ing_start(&balancer->ing, &err), &err);
-	rld_start(&balancer->rld);
-}
-
-static void on_relay_reload(void *ctx, const ProtobufCMessage *msg)
-{
-	const Jj__BalancerSettings *settings = (const void *)msg;
-	struct relay_balancer *balancer = ctx;
-
-	lio_set_level(&balancer->log, settings->log->level);
-	balancer->drain_ms = settings->ingress->drain_ms;
-}
-
-static void run_relay(const struct dmn_args *args,
-		      const Jj__BalancerSettings *settings)
-{
-	static struct relay_balancer balancer;
-	struct dmn_hooks hooks = { on_relay_reload, &balancer };
-
-	lio_init(&balancer.log, "jujubed", settings->log->level);
-	balancer.drain_ms = settings->ingress->drain_ms;
-	dmn_block_signals();
-	start_relay(&balancer, settings);
-	log_put(&balancer.log.sink, EV_STARTED, "name=%s",
-		settings->identity->name);
-	dmn_wait(args, &jj__balancer_settings__descriptor, &balancer.nod,
-		 &hooks);
-	/* The fabric stops sending when the readiness check says "no". */
-	balancer.rld.stopping = 1;
-	dmn_drain(balancer.drain_ms, ing_idle, &balancer.ing);
-	nod_leave(&balancer.nod);
-	ing_finish(&balancer.ing);
-	rld_finish(&balancer.rld);
-	nod_stop(&balancer.nod);
-	nod_finish(&balancer.nod);
-	log_put(&balancer.log.sink, EV_STOPPED, "name=%s",
-		settings->identity->name);
-}
-
-/* -- the callers' own protocol ------------------------------------------- */
-
 static int never(void *ctx)
 {
 	(void)ctx;
@@ -177,24 +85,9 @@
 	const Jj__BalancerSettings *settings = (const void *)msg;
 	struct dmn_hooks hooks = { on_reload, &balancer };
 
-	if (*settings->ingress->address) {
-		run_relay(&args, settings);
-		set_free(msg);
-		return 0;
-	}
-	if (!settings->platform->url || !settings->admin->ip) {
-		struct jj_error err;
-
-		st_fail(&err, JJ_INVALID,
-			"%s: [platform] and [admin] must be "
-			"set where [ingress] is not",
-			args.config);
-		dmn_die(&err);
-	}
 	lio_init(&balancer.log, "jujubed", settings->log->level);
 	balancer.drain_s = settings->forward->drain_s;
 	dmn_block_signals();
-	kv_global_init();
 	start(&balancer, settings);
 	log_put(&balancer.log.sink, EV_STARTED, "name=%s",
 		settings->identity->name);
--- a/src/bin/relayd.c
+++ b/src/bin/relayd.c
@@ -14,8 +14,7 @@
 	if (!out)
 		return NULL;
 	for (i = 0; i < MET_COUNT; i++)
-		fprintf(out, "jujube_%s %llu\n",
-			met_name((enum met_counter)i),
+		fprintf(out, "jujube_%s %llu\n", met_name((enum met_counter)i),
 			(unsigned long long)met_get(&rld->nod->met,
 						    (enum met_counter)i));
 	fclose(out);
@@ -66,11 +65,11 @@
 /* -- start and finish ---------------------------------------------------- */
 
 void rld_begin(struct rld *rld, const Jj__RegistrySection *settings,
-	       struct nod_desc *node, const struct rld_hooks *hooks)
+	       const struct lio *log, const struct rld_hooks *hooks)
 {
 	struct reg_desc reg = { .lease_ms = settings->lease_s * 1000,
 				.watch_ms = settings->watch_s * 1000,
-				.log = &node->log->sink };
+				.log = &log->sink };
 	struct jj_error err;
 
 	rld->hooks = *hooks;
@@ -79,8 +78,6 @@
 		 &err);
 	reg.store = pf_store_calls(&rld->store);
 	reg_init(&rld->reg, &reg);
-	node->former_incarnation =
-		reg_former_incarnation(&rld->reg, node->name);
 }
 
 void rld_listen(struct rld *rld, struct nod *nod, const char *ready,
--- a/src/bin/relayd.h
+++ b/src/bin/relayd.h
@@ -28,9 +28,9 @@
 	_Atomic int stopping; /* the readiness check answers "no" */
 };
 
-/* Before nod_init(): opens the store; fills in node->former_incarnation. */
+/* Opens the store. */
 void rld_begin(struct rld *rld, const Jj__RegistrySection *settings,
-	       struct nod_desc *node, const struct rld_hooks *hooks);
+	       const struct lio *log, const struct rld_hooks *hooks);
 /* After nod_init(): where to answer calls; an empty address is none. */
 void rld_listen(struct rld *rld, struct nod *nod, const char *ready,
 		const char *heartbeats);
--- a/src/core/flow.c
+++ b/src/core/flow.c
@@ -36,6 +36,8 @@
 	flw->flow_capacity = desc->max_flows / FLW_SHARDS * 2 + 16;
 	pthread_mutex_init(&flw->target_lock, NULL);
 	pthread_mutex_init(&flw->peer_lock, NULL);
+	pthread_mutex_init(&flw->wait_lock, NULL);
+	pthread_mutex_init(&flw->trial_lock, NULL);
 	for (i = 0; i < FLW_SHARDS; i++) {
 		if (flw_init_shard(&flw->shards[i], flw->flow_capacity)) {
 			flw_finish(flw);
@@ -53,6 +55,8 @@
 		flw_finish_shard(&flw->shards[i]);
 	pthread_mutex_destroy(&flw->target_lock);
 	pthread_mutex_destroy(&flw->peer_lock);
+	pthread_mutex_destroy(&flw->wait_lock);
+	pthread_mutex_destroy(&flw->trial_lock);
 }
 
 void flw_stop(struct flw *flw)
@@ -60,12 +64,17 @@
 	flw->stopping = 1;
 }
 
+void flw_settle(struct flw *flw)
+{
+	flw->settled = 1;
+}
+
 uint64_t flw_key(const struct flw_packet *packet)
 {
-	uint64_t parts[2] = { (uint64_t)packet->caller_ip << 32 |
-				      packet->service_ip,
-			      (uint64_t)packet->caller_port << 16 |
-				      packet->service_port };
+	uint64_t parts[2] = {
+		(uint64_t)packet->caller_ip << 32 | packet->service_ip,
+		(uint64_t)packet->caller_port << 16 | packet->service_port
+	};
 	uint64_t key = rnk_hash(parts, sizeof(parts));
 
 	return key ? key : 1;
@@ -101,8 +110,8 @@
 					  packet->caller_ip, buf, len);
 }
 
-static void reset_flow(const struct flw_call *call,
-		       const struct flw_flow *flow, const char *why)
+static void reset_flow(const struct flw_call *call, const struct flw_flow *flow,
+		       const char *why)
 {
 	struct flw_packet head = { .caller_ip = flow->caller_ip,
 				   .caller_port = flow->caller_port,
@@ -184,11 +193,74 @@
 	       fits(head->ack, e->first);
 }
 
+/* Agents that a searching packet has visited, this one included. */
+struct visits {
+	uint64_t ids[FLW_SEARCH_MAX];
+	uint32_t count;
+};
+
+static int has_visited(const struct visits *visits, uint64_t id)
+{
+	uint32_t i;
+
+	for (i = 0; i < visits->count; i++)
+		if (visits->ids[i] == id)
+			return 1;
+	return 0;
+}
+
+static void visits_of(const struct flw_work *work, struct visits *visits)
+{
+	const Jj__Packet *packet = work->packet;
+	size_t i;
+
+	visits->count = 0;
+	if (packet->mode == FLW_SEARCH)
+		for (i = 0; i < packet->n_tried && i + 1 < FLW_SEARCH_MAX; i++)
+			visits->ids[visits->count++] = packet->tried[i];
+	visits->ids[visits->count++] = work->me->id;
+}
+
+static uint32_t save_trial(struct flw *flw, uint64_t key,
+			   const struct visits *visits)
+{
+	struct flw_trial *trial;
+	uint32_t at;
+
+	pthread_mutex_lock(&flw->trial_lock);
+	at = flw->next_trial++ % FLW_TRIALS;
+	trial = &flw->trials[at];
+	trial->key = key;
+	trial->count = visits->count;
+	memcpy(trial->visited, visits->ids,
+	       visits->count * sizeof(*visits->ids));
+	pthread_mutex_unlock(&flw->trial_lock);
+	return at + 1;
+}
+
+static int load_trial(struct flw *flw, uint64_t key, uint32_t mark,
+		      struct visits *visits)
+{
+	const struct flw_trial *trial;
+	int found;
+
+	if (!mark || mark > FLW_TRIALS)
+		return 0;
+	pthread_mutex_lock(&flw->trial_lock);
+	trial = &flw->trials[mark - 1];
+	found = trial->key == key;
+	visits->count = trial->count;
+	memcpy(visits->ids, trial->visited,
+	       trial->count * sizeof(*visits->ids));
+	pthread_mutex_unlock(&flw->trial_lock);
+	return found;
+}
+
 /*
  * The target of an agent that was started lately may hold flows that the
  * agent does not know. Each is tried there once; it comes back when not held.
  */
-static int try_target(const struct flw_work *work)
+static int try_target(const struct flw_work *work, const struct visits *visits)
 {
 	const struct flw_call *call = work->call;
 	struct flw *flw = call->flw;
@@ -203,44 +275,74 @@
 		return 0;
 	flw_put_exception(work->shard, &none);
 	memcpy(buf, work->packet->data.data, work->packet->data.len);
-	flw->desc.codec.set_mark(buf, work->packet->hops + 1);
+	flw->desc.codec.set_mark(buf,
+				 save_trial(flw, work->packet->flow, visits));
 	met_add(flw->desc.met, MET_TRIED, 1);
 	flw->desc.hooks.to_target(flw->desc.hooks.ctx, buf,
 				  work->packet->data.len);
 	return 1;
 }
 
-/* The agent after this one in the circle of the service. */
-static const struct viw_agent *next_agent(const struct flw_work *work)
+/* The next agent of the circle that was not visited, or null. */
+static const struct viw_agent *next_agent(const struct flw_work *work,
+					  const struct visits *visits)
 {
 	const struct viw *view = work->call->view;
-	uint32_t at = (uint32_t)(work->me - view->agents) + 1;
+	uint32_t at = (uint32_t)(work->me - view->agents);
+	uint32_t i;
 
-	if (at == work->service->first + work->service->count)
-		at = work->service->first;
-	return &view->agents[at];
+	for (i = 1; i < work->service->count; i++) {
+		at++;
+		if (at == work->service->first + work->service->count)
+			at = work->service->first;
+		if (!has_visited(visits, view->agents[at].id))
+			return &view->agents[at];
+	}
+	return NULL;
 }
 
-/* Goes on around the service; visited counts the agents that had it. */
-static void search_on(const struct flw_work *work, uint32_t visited)
+/* Nobody holds it, as far as all agents that could know. */
+static int search_proves(const struct flw_work *work)
 {
-	const struct viw_agent *next = next_agent(work);
+	const struct flw_call *call = work->call;
+	const struct viw_service *other =
+		viw_former(call->view, work->head.service_ip,
+			   work->head.service_port, NULL);
+
+	if (other == work->service)
+		other = viw_former(call->view, work->head.service_ip,
+				   work->head.service_port, other);
+	return call->flw->settled && !other && !work->service->absent &&
+	       work->head.acknowledges && !work->head.resets;
+}
+
+static void search_on(const struct flw_work *work, const struct visits *visits)
+{
+	struct flw *flw = work->call->flw;
+	const struct viw_agent *next = next_agent(work, visits);
 	Jj__Packet packet = *work->packet;
 	struct flw_work search = *work;
+	int proves;
 
-	packet.hops = visited;
+	packet.tried = (uint64_t *)visits->ids;
+	packet.n_tried = visits->count;
+	packet.hops = 0;
 	search.packet = &packet;
-	if (visited + 1 < work->service->count && visited < FLW_SEARCH_MAX &&
-	    next != work->me) {
+	if (next && visits->count < FLW_SEARCH_MAX) {
 		flw_forward(&search, next, FLW_SEARCH);
 		return;
 	}
-	met_add(work->call->flw->desc.met, MET_UNHELD, 1);
-	log_put(work->call->flw->desc.log, EV_FLOW_UNHELD,
-		"flow=%08x:%u>%08x:%u ack=%u visited=%u revision=%llu",
+	proves = !next && search_proves(work);
+	met_add(flw->desc.met, MET_UNHELD, 1);
+	log_put(flw->desc.log, EV_FLOW_UNHELD,
+		"flow=%08x:%u>%08x:%u ack=%u visited=%u absent=%u reset=%d "
+		"revision=%llu",
 		work->head.caller_ip, work->head.caller_port,
 		work->head.service_ip, work->head.service_port, work->head.ack,
-		visited, (unsigned long long)work->call->view->revision);
+		visits->count, work->service->absent, proves,
+		(unsigned long long)work->call->view->revision);
+	if (proves)
+		flw_reset_caller(work->call, &work->head, work->head.ack);
 }
 
 static void on_unheld(const struct flw_work *work)
@@ -250,20 +352,17 @@
 	struct flw_exception *e = flw_exception(work->shard, packet->flow);
 	const struct viw_agent *holder =
 		e && e->holder ? viw_agent(view, e->holder) : NULL;
+	struct visits visits;
 
-	if (packet->mode == FLW_SEARCH) {
-		if (!try_target(work))
-			search_on(work, packet->hops);
-		return;
-	}
 	if (holder && holder != work->me && holder_fits(e, &work->head) &&
 	    packet->mode == FLW_FIRST) {
 		met_add(work->call->flw->desc.met, MET_EXCEPTION_HITS, 1);
 		flw_forward(work, holder, FLW_HELD);
 		return;
 	}
-	if (!try_target(work))
-		search_on(work, 0);
+	visits_of(work, &visits);
+	if (!try_target(work, &visits))
+		search_on(work, &visits);
 }
 
 /* -- packets of callers -------------------------------------------------- */
@@ -395,7 +494,7 @@
 		met_add(flw->desc.met, MET_WRONG_SERVICE, 1);
 		return;
 	}
-	if (!work.me || !work.service || packet->hops > FLW_SEARCH_MAX) {
+	if (!work.me || !work.service || packet->hops > FLW_HOPS_MAX) {
 		met_add(flw->desc.met, MET_NO_TARGET, 1);
 		return;
 	}
@@ -474,16 +573,17 @@
 {
 	struct flw *flw = call->flw;
 	uint32_t mark = flw->desc.codec.mark(data);
+	struct visits visits;
 	Jj__Packet packet = JJ__PACKET__INIT;
 	struct flw_work work = { .call = call,
 				 .shard = shard,
 				 .packet = &packet,
 				 .head = *head,
-				 .service = viw_service(call->view,
-							flw->service),
+				 .service =
+					 viw_service(call->view, flw->service),
 				 .me = viw_agent(call->view, flw->desc.id) };
 
-	if (!mark || !work.service || !work.me)
+	if (!work.service || !work.me || !load_trial(flw, key, mark, &visits))
 		return;
 	flw->desc.codec.restore(data);
 	packet.service = flw->service;
@@ -492,7 +592,7 @@
 	packet.flow = key;
 	packet.data.data = data;
 	packet.data.len = len;
-	search_on(&work, mark - 1);
+	search_on(&work, &visits);
 }
 
 static void on_returned(const struct flw_call *call, struct flw_shard *shard,
@@ -540,6 +640,7 @@
 		note_sent(call, flow, &head);
 	pthread_mutex_unlock(&shard->lock);
 	flw_note_answer(flw);
+	flw_serve_waiting(call);
 	met_add(flw->desc.met, MET_ANSWERED, 1);
 	flw->desc.hooks.to_caller(flw->desc.hooks.ctx, head.caller_ip, data,
 				  len);
@@ -652,6 +753,7 @@
 	uint64_t idle_us = idle_limit(call);
 	uint32_t i;
 
+	flw_serve_waiting(call);
 	flw_report_load(call);
 	if (call->now < flw->next_tick)
 		return;
--- a/src/core/flow_internal.h
+++ b/src/core/flow_internal.h
@@ -39,6 +39,10 @@
 
 /* flow_place.c: what the target can take, and who else can */
 void flw_place(const struct flw_work *work);
+/* 0: nobody has room, and nothing was done. */
+int flw_try_place(const struct flw_work *work);
+/* Turns an opening down for good. */
+void flw_refuse(const struct flw_work *work, const char *why);
 /* Opens it here, when the target may take it, else passes it on. */
 void flw_open_or_pass(const struct flw_work *work);
 /* The opening packet of a flow that the target did not answer goes on. */
@@ -47,6 +51,12 @@
 void flw_report_load(const struct flw_call *call);
 void flw_note_answer(struct flw *flw);
 
+/* flow_wait.c: openings that wait for room, newest first */
+/* 0: they cannot wait. */
+int flw_wait(const struct flw_work *work);
+/* Places those that wait as far as there is room. No lock may be held. */
+void flw_serve_waiting(const struct flw_call *call);
+
 /* flow_target.c */
 /* Why the target may not be given a flow now, or null. */
 const char *flw_cannot_open(struct flw *flw, const struct viw_service *service,
--- a/src/core/flow_place.c
+++ b/src/core/flow_place.c
@@ -8,9 +8,8 @@
  * that a burst does not follow one report to one target. Among equals the
  * data centre that the packet came through goes first. The agent that gets it
  * decides again by what it knows of its own target; one that is full passes
- * the packet on, FLW_TRIED_MAX times at most. When nobody has room, the flow
- * is refused at once: waiting in line behind work that is late already would
- * serve it late, too.
+ * the packet on, FLW_TRIED_MAX times at most. When nobody has room, a fresh
+ * opening waits shortly (see flow_wait.c), and any other is refused at once.
  */
 #include "flow_internal.h"
 
@@ -107,8 +106,8 @@
 	cap = offered_cap(call, service, me);
 	pthread_mutex_lock(&flw->peer_lock);
 	changed = flw->in_hand != flw->load_sent || cap != flw->cap_sent;
-	if (call->now < flw->load_sent_at +
-				(changed ? FLW_LOAD_US : FLW_LOAD_MAX_US)) {
+	if (call->now <
+	    flw->load_sent_at + (changed ? FLW_LOAD_US : FLW_LOAD_MAX_US)) {
 		pthread_mutex_unlock(&flw->peer_lock);
 		return;
 	}
@@ -142,8 +141,19 @@
 	return 0;
 }
 
-static uint32_t fill(uint32_t load, uint32_t cap,
-		     const struct viw_agent *agent, uint64_t data_centre)
+/*
+ * A caller's later copy is late already: it takes a slot that would be idle,
+ * and no place in line before fresh ones.
+ */
+static uint32_t room_for(const struct flw_work *work, uint32_t cap)
+{
+	uint32_t queue = work->call->flw->desc.queue;
+
+	return work->head.repeat && cap > queue ? cap - queue : cap;
+}
+
+static uint32_t fill(uint32_t load, uint32_t cap, const struct viw_agent *agent,
+		     uint64_t data_centre)
 {
 	if (load >= cap)
 		return NOBODY;
@@ -175,7 +185,8 @@
 		    &call->view->services[agent->service] != work->service ||
 		    was_tried(work, peer->id))
 			continue;
-		at = fill(peer->load, peer->cap, agent, data_centre);
+		at = fill(peer->load, room_for(work, peer->cap), agent,
+			  data_centre);
 		if (at < limit) {
 			limit = at;
 			best = agent;
@@ -195,7 +206,8 @@
 
 	if (flw_cannot_open(flw, work->service, work->me, now))
 		return NOBODY;
-	return fill(flw->in_hand, flw_cap(flw, work->service, now), work->me,
+	return fill(flw->in_hand,
+		    room_for(work, flw_cap(flw, work->service, now)), work->me,
 		    entry_data_centre(work));
 }
 
@@ -216,20 +228,54 @@
 		detail);
 }
 
+/* Whether some target of the service may have room shortly. */
+static int room_expected(const struct flw_work *work)
+{
+	const struct viw *view = work->call->view;
+	uint32_t i;
+
+	for (i = 0; i < work->service->count; i++) {
+		const struct viw_agent *agent =
+			&view->agents[work->service->first + i];
+
+		if (!agent->out && !agent->draining && agent->weight &&
+		    agent->phase < JJ__PHASE__PHASE_DRAINING)
+			return 1;
+	}
+	return 0;
+}
+
+/* A target was given a copy, as far as this agent knows. */
+static int was_given(const struct flw_work *work)
+{
+	const struct flw_exception *e =
+		flw_exception(work->shard, work->packet->flow);
+
+	return e && e->holder;
+}
+
 /*
- * Nobody can take it. The caller hears so at once when no target was given a
- * copy; when one was, it may have answered, and silence is the truth.
+ * The caller hears so at once, unless a target was given a copy: it may have
+ * answered, and silence is the truth.
  */
-static void refuse(const struct flw_work *work, const char *why)
+void flw_refuse(const struct flw_work *work, const char *why)
 {
-	struct flw *flw = work->call->flw;
-
-	met_add(flw->desc.met, MET_REFUSED, 1);
+	met_add(work->call->flw->desc.met, MET_REFUSED, 1);
 	log_opening(work, EV_FLOW_REFUSED, "why", why);
-	if (!work->head.repeat)
+	if (!was_given(work))
 		flw_reset_caller(work->call, &work->head, 0);
 }
 
+/* Nobody has room now. */
+static void wait_or_refuse(const struct flw_work *work, const char *why)
+{
+	if (!work->head.repeat && room_expected(work) && flw_wait(work)) {
+		met_add(work->call->flw->desc.met, MET_DEFERRED, 1);
+		return;
+	}
+	flw_refuse(work, why);
+}
+
 static void remember(const struct flw_work *work, uint64_t holder)
 {
 	struct flw_exception e = { .key = work->packet->flow,
@@ -244,8 +290,8 @@
 	const struct flw_call *call = work->call;
 	const Jj__Packet *packet = work->packet;
 	struct flw *flw = call->flw;
-	struct flw_flow *flow = flw_take(flw, work->shard, packet->flow,
-					 call->now);
+	struct flw_flow *flow =
+		flw_take(flw, work->shard, packet->flow, call->now);
 	size_t i;
 
 	if (!flow)
@@ -283,7 +329,7 @@
 	const struct viw_agent *to;
 
 	if (packet.n_tried >= FLW_TRIED_MAX) {
-		refuse(work, why);
+		wait_or_refuse(work, why);
 		return;
 	}
 	memcpy(tried, packet.tried, packet.n_tried * sizeof(*tried));
@@ -292,7 +338,7 @@
 	next.packet = &packet;
 	to = least_peer(&next, NOBODY);
 	if (!to) {
-		refuse(work, why);
+		wait_or_refuse(work, why);
 		return;
 	}
 	remember(work, to->id);
@@ -304,24 +350,35 @@
 	const char *why = flw_cannot_open(work->call->flw, work->service,
 					  work->me, work->call->now);
 
+	if (!why && own_fill(work) == NOBODY)
+		why = "target is full";
 	if (!why && !open_here(work))
 		why = "flow table is full";
 	if (why)
 		pass_on(work, why);
 }
 
-void flw_place(const struct flw_work *work)
+int flw_try_place(const struct flw_work *work)
 {
 	uint32_t own = was_tried(work, work->me->id) ? NOBODY : own_fill(work);
 	const struct viw_agent *peer = least_peer(work, own);
 
-	if (!peer) {
-		flw_open_or_pass(work);
-		return;
+	if (peer) {
+		met_add(work->call->flw->desc.met, MET_FLOWS_PLACED, 1);
+		remember(work, peer->id);
+		flw_forward(work, peer, FLW_PLACED);
+		return 1;
 	}
-	met_add(work->call->flw->desc.met, MET_FLOWS_PLACED, 1);
-	remember(work, peer->id);
-	flw_forward(work, peer, FLW_PLACED);
+	if (own == NOBODY)
+		return 0;
+	flw_open_or_pass(work);
+	return 1;
+}
+
+void flw_place(const struct flw_work *work)
+{
+	if (!flw_try_place(work))
+		wait_or_refuse(work, "all targets are full");
 }
 
 void flw_place_again(const struct flw_call *call, struct flw_shard *shard,
@@ -334,8 +391,8 @@
 	struct flw_work work = { .call = call,
 				 .shard = shard,
 				 .packet = &packet,
-				 .service = viw_service(call->view,
-							flw->service),
+				 .service =
+					 viw_service(call->view, flw->service),
 				 .me = viw_agent(call->view, flw->desc.id) };
 
 	memcpy(opening, flow->opening, flow->opening_len);
--- a/src/core/flow_target.c
+++ b/src/core/flow_target.c
@@ -148,9 +148,8 @@
 	return recent_openings(target, now) < limit;
 }
 
-static const char *target_refusal(struct flw *flw,
-				  const struct viw_service *service,
-				  uint64_t now)
+static const char *
+target_refusal(struct flw *flw, const struct viw_service *service, uint64_t now)
 {
 	const struct flw_target *target = &flw->target;
 
@@ -216,8 +215,9 @@
 	target->unanswered++;
 	target->unanswered_at = now;
 	if (target->unanswered == FLW_SILENT_MAX)
-		log_put(flw->desc.log, EV_TARGET_DOWN, "target=%s unanswered=%u",
-			target->said.id, target->unanswered);
+		log_put(flw->desc.log, EV_TARGET_DOWN,
+			"target=%s unanswered=%u", target->said.id,
+			target->unanswered);
 	pthread_mutex_unlock(&flw->target_lock);
 }
 
--- /dev/null
+++ b/src/core/flow_wait.c
@@ -0,0 +1,145 @@
+/*
+ * Openings that wait for room.
+ *
+ * Answers a load above what all targets bear for some seconds, as after
+ * everything was started again: slots come free every few milliseconds, so
+ * that a short wait serves a caller in time, where a reset would make it spend
+ * its retries within milliseconds. The newest goes first: under lasting
+ * overload the oldest is late before it is served, and serving it makes the
+ * next late, too. Whoever has waited for its share of the expected time is
+ * refused at once.
+ */
+#include "flow_internal.h"
+
+#include <string.h>
+
+static uint64_t longest_wait(const struct flw_work *work)
+{
+	uint32_t aim_ms = viw_aim_ms(work->call->view, work->head.service_ip,
+				     work->head.service_port);
+
+	return aim_ms ? aim_ms * 1000ull / FLW_WAIT_SHARE :
+			FLW_WAIT_DEFAULT_US;
+}
+
+int flw_wait(const struct flw_work *work)
+{
+	struct flw *flw = work->call->flw;
+	const Jj__Packet *packet = work->packet;
+	struct flw_waiting *use = NULL;
+	int i;
+
+	if (packet->data.len > FLW_OPENING_MAX)
+		return 0;
+	pthread_mutex_lock(&flw->wait_lock);
+	for (i = 0; i < FLW_WAITING && !use; i++)
+		if (!flw->waiting[i].since)
+			use = &flw->waiting[i];
+	if (use) {
+		*use = (struct flw_waiting){
+			.since = work->call->now,
+			.until = work->call->now + longest_wait(work),
+			.key = packet->flow,
+			.via_id = packet->via_id,
+			.via_ip = packet->via_ip,
+			.via_port = (uint16_t)packet->via_port,
+			.opening_len = (uint8_t)packet->data.len,
+		};
+		memcpy(use->opening, packet->data.data, packet->data.len);
+		flw->waiting_count++;
+	}
+	pthread_mutex_unlock(&flw->wait_lock);
+	return use != NULL;
+}
+
+/* Takes the newest out, or one whose time is over; 0: nobody waits. */
+static int take_next(struct flw *flw, uint64_t now, struct flw_waiting *out)
+{
+	struct flw_waiting *next = NULL;
+	int i;
+
+	pthread_mutex_lock(&flw->wait_lock);
+	for (i = 0; i < FLW_WAITING; i++) {
+		struct flw_waiting *waiting = &flw->waiting[i];
+
+		if (!waiting->since)
+			continue;
+		if (!next || waiting->since > next->since)
+			next = waiting;
+		if (now >= waiting->until) {
+			next = waiting;
+			break;
+		}
+	}
+	if (next) {
+		*out = *next;
+		next->since = 0;
+		flw->waiting_count--;
+	}
+	pthread_mutex_unlock(&flw->wait_lock);
+	return next != NULL;
+}
+
+static void put_back(struct flw *flw, const struct flw_waiting *waiting)
+{
+	int i;
+
+	pthread_mutex_lock(&flw->wait_lock);
+	for (i = 0; i < FLW_WAITING; i++) {
+		if (flw->waiting[i].since)
+			continue;
+		flw->waiting[i] = *waiting;
+		flw->waiting_count++;
+		break;
+	}
+	pthread_mutex_unlock(&flw->wait_lock);
+}
+
+/* 1: it was placed or refused; 0: it has to wait on. */
+static int serve_one(const struct flw_call *call, struct flw_waiting *waiting)
+{
+	struct flw *flw = call->flw;
+	Jj__Packet packet = JJ__PACKET__INIT;
+	struct flw_work work = { .call = call,
+				 .packet = &packet,
+				 .shard = flw_shard_of(flw, waiting->key),
+				 .service = viw_service(call->view,
+							flw->service),
+				 .me = viw_agent(call->view, flw->desc.id) };
+	int served;
+
+	packet.service = flw->service;
+	packet.flow = waiting->key;
+	packet.via_id = waiting->via_id;
+	packet.via_ip = waiting->via_ip;
+	packet.via_port = waiting->via_port;
+	packet.data.data = waiting->opening;
+	packet.data.len = waiting->opening_len;
+	if (!work.service || !work.me ||
+	    flw->desc.codec.decode(waiting->opening, waiting->opening_len, 0,
+				   &work.head) != JJ_OK)
+		return 1;
+	packet.caller_ip = work.head.caller_ip;
+	packet.caller_port = work.head.caller_port;
+	pthread_mutex_lock(&work.shard->lock);
+	served = flw_try_place(&work);
+	if (!served && call->now >= waiting->until) {
+		flw_refuse(&work, "no room in time");
+		served = 1;
+	}
+	pthread_mutex_unlock(&work.shard->lock);
+	return served;
+}
+
+void flw_serve_waiting(const struct flw_call *call)
+{
+	struct flw *flw = call->flw;
+	struct flw_waiting waiting;
+
+	while (flw->waiting_count && take_next(flw, call->now, &waiting)) {
+		if (serve_one(call, &waiting))
+			continue;
+		put_back(flw, &waiting);
+		return;
+	}
+}
--- a/src/core/frame.c
+++ b/src/core/frame.c
@@ -175,7 +175,7 @@
 	size_t len;
 
 	env->sender = out->sender;
-	env->incarnation = out->incarnation;
+	env->incarnation = *out->incarnation;
 	env->lane = out->lane;
 	env->counter = ++out->counter;
 	env->revision = out->revision ? atomic_load(out->revision) : 0;
--- a/src/core/member.c
+++ b/src/core/member.c
@@ -456,6 +456,15 @@
 	mbr->push_left = mbr_send_limit(mbr);
 }
 
+void mbr_set_incarnation(struct mbr *mbr, uint64_t incarnation)
+{
+	struct mbr_member *me = mbr_own(mbr);
+
+	me->incarnation = incarnation;
+	mbr_make_hot(mbr, me);
+	mbr_tell(mbr, me, MBR_RESTARTED);
+}
+
 void mbr_set_phase(struct mbr *mbr, Jj__Phase phase)
 {
 	struct mbr_member *me = mbr_own(mbr);
--- a/src/core/relay.c
+++ b/src/core/relay.c
@@ -99,8 +99,8 @@
 			      uint64_t key, uint64_t now_ms, unsigned rank,
 			      struct rly_choice *choice)
 {
-	choice->agent = home_of_rank(rly, view, choice->service, key, now_ms,
-				     rank);
+	choice->agent =
+		home_of_rank(rly, view, choice->service, key, now_ms, rank);
 	return choice->agent ? JJ_OK : JJ_UNAVAILABLE;
 }
 
--- a/src/core/settings.c
+++ b/src/core/settings.c
@@ -72,6 +72,8 @@
 	{ "ingress", "address", FORM_ADDRESS, 0, 0 },
 	{ "ingress", "ready", FORM_ADDRESS, 0, 0 },
 	{ "ingress", "callers", FORM_ADDRESS, 0, 0 },
+	{ "ingress", "threads", FORM_NUMBER, 1, 64 },
+	{ "ingress", "flow_idle_s", FORM_NUMBER, 1, 604800 },
 	{ "ingress", "max_flows", FORM_NUMBER, 1000, 16000000 },
 	{ "ingress", "drain_ms", FORM_NUMBER, 0, 600000 },
 	{ "egress", "address", FORM_ADDRESS, 0, 0 },
--- a/src/core/view.c
+++ b/src/core/view.c
@@ -90,6 +90,7 @@
 			continue;
 		route->service = (uint32_t)(service - view->services);
 		route->weight = row->weight;
+		route->aim_ms = row->aim_ms;
 		route->former = row->state != JJ__ROW_STATE__STATE_IN;
 		view->route_count++;
 	}
@@ -207,6 +208,19 @@
 	balancer->usable = !centre || centre->state < JJ__ROW_STATE__STATE_OUT;
 }
 
+/* A target that went down before its agent did holds nothing any more. */
+static void note_absent(struct viw *view, const struct mbr_member *member,
+			uint64_t now)
+{
+	struct viw_service *service = (struct viw_service *)viw_service(
+		view, rnk_name_id(member->service));
+
+	if (service && member->used && member->role == JJ__ROLE__ROLE_AGENT &&
+	    member->phase != JJ__PHASE__PHASE_DOWN &&
+	    now < member->since + VIW_ABSENT_MS)
+		service->absent++;
+}
+
 static void add_members(struct viw *view, const struct tbl *tbl,
 			const struct mbr *mbr)
 {
@@ -218,8 +232,10 @@
 	for (i = 0; i < mbr->count; i++) {
 		const struct mbr_member *member = &mbr->members[i];
 
-		if (!mbr_live(member))
+		if (!mbr_live(member)) {
+			note_absent(view, member, mbr->last_tick);
 			continue;
+		}
 		if (member->role == JJ__ROLE__ROLE_AGENT)
 			add_agent(view, tbl, member);
 		else if (member->role == JJ__ROLE__ROLE_BALANCER)
@@ -425,6 +441,17 @@
 	return 0;
 }
 
+uint32_t viw_aim_ms(const struct viw *view, uint32_t ip, uint16_t port)
+{
+	const struct viw_route *end;
+	const struct viw_route *route = routes_of(view, ip, port, &end);
+
+	for (; route < end; route++)
+		if (!route->former)
+			return route->aim_ms;
+	return 0;
+}
+
 const struct viw_service *viw_former(const struct viw *view, uint32_t ip,
 				     uint16_t port,
 				     const struct viw_service *previous)
--- a/src/io/http.c
+++ b/src/io/http.c
@@ -46,6 +46,7 @@
 static void on_answer(struct evhttp_request *request, void *ctx)
 {
 	struct htc *htc = ctx;
+	const char *header = NULL;
 	struct evbuffer *in;
 
 	htc->done = 1;
@@ -53,6 +54,10 @@
 	if (!request)
 		return;
 	htc->code = evhttp_request_get_response_code(request);
+	if (htc->wanted)
+		header = evhttp_find_header(
+			evhttp_request_get_input_headers(request), htc->wanted);
+	snprintf(htc->header, sizeof(htc->header), "%s", header ? header : "");
 	in = evhttp_request_get_input_buffer(request);
 	htc->len = evbuffer_get_length(in);
 	if (!htc->code || !htc->len)
@@ -85,7 +90,7 @@
 }
 
 static int begin(struct htc *htc, enum evhttp_cmd_type method, const char *path,
-		 const char *body)
+		 const char *body, size_t len)
 {
 	struct evhttp_request *request;
 	struct evkeyvalq *headers;
@@ -107,7 +112,7 @@
 	if (body) {
 		evhttp_add_header(headers, "Content-Type", "application/json");
 		evbuffer_add(evhttp_request_get_output_buffer(request), body,
-			     strlen(body));
+			     len);
 	}
 	if (evhttp_make_request(htc->conn, request, method, path))
 		return 0;
@@ -121,8 +126,8 @@
 	uint64_t now = net_now_ms();
 
 	while (!htc->done && now < until && !(htc->stop && *htc->stop)) {
-		uint64_t slice = until - now < SLICE_MS ? until - now :
-							  SLICE_MS;
+		uint64_t slice =
+			until - now < SLICE_MS ? until - now : SLICE_MS;
 		struct timeval tv = { .tv_usec = (long)slice * 1000 };
 
 		event_base_loopexit(htc->base, &tv);
@@ -132,13 +137,15 @@
 }
 
 int htc_call(struct htc *htc, enum evhttp_cmd_type method, const char *path,
-	     const char *request, uint32_t timeout_ms, char **body, size_t *len)
+	     const char *request, size_t request_len, uint32_t timeout_ms,
+	     char **body, size_t *len)
 {
 	htc->done = 0;
 	htc->code = 0;
 	htc->body = NULL;
 	htc->len = 0;
-	if (begin(htc, method, path, request))
+	*htc->header = '\0';
+	if (begin(htc, method, path, request, request_len))
 		wait_for_answer(htc, timeout_ms);
 	if (!htc->code)
 		drop_connection(htc);
@@ -204,9 +211,9 @@
 				    .http = evhttp_new(hts->base) };
 	if (!to->http || evhttp_bind_socket(to->http, host, port))
 		return st_fail(err, JJ_SYSTEM, "cannot listen at %s", address);
-	evhttp_set_allowed_methods(to->http,
-				   EVHTTP_REQ_GET | EVHTTP_REQ_PUT |
-					   EVHTTP_REQ_POST | EVHTTP_REQ_DELETE);
+	evhttp_set_allowed_methods(to->http, EVHTTP_REQ_GET | EVHTTP_REQ_PUT |
+						     EVHTTP_REQ_POST |
+						     EVHTTP_REQ_DELETE);
 	evhttp_set_max_body_size(to->http, HTS_BODY_MAX);
 	evhttp_set_gencb(to->http, on_request, to);
 	hts->count++;
--- a/src/io/http.h
+++ b/src/io/http.h
@@ -27,6 +27,8 @@
 	char host[16];
 	uint16_t port;
 	const _Atomic int *stop;
+	const char *wanted; /* name of an answer's header to keep, or null */
+	char header[64]; /* its value in the last answer, "": none */
 	/* of the call in progress */
 	int done;
 	int code;
@@ -44,8 +46,8 @@
  * empty) and ends with a zero that *len does not count.
  */
 int htc_call(struct htc *htc, enum evhttp_cmd_type method, const char *path,
-	     const char *request, uint32_t timeout_ms, char **body,
-	     size_t *len);
+	     const char *request, size_t request_len, uint32_t timeout_ms,
+	     char **body, size_t *len);
 
 struct hts_request {
 	uint32_t tag; /* of the address that it came to */
--- a/src/io/ingress.c
+++ b/src/io/ingress.c
@@ -36,8 +36,7 @@
 static void reset_caller(struct ing_thread *t, const struct flw_packet *head)
 {
 	const struct ing_desc *desc = &t->ing->desc;
-	struct sockaddr_in to =
-		net_address(head->caller_ip, desc->caller_port);
+	struct sockaddr_in to = net_address(head->caller_ip, desc->caller_port);
 	uint8_t buf[FLW_OPENING_MAX];
 	size_t len = desc->codec.reset(head, 0, buf, sizeof(buf));
 
@@ -97,8 +96,7 @@
 	packet.data.len = len;
 	env.body_case = JJ__ENVELOPE__BODY_PACKET;
 	env.packet = &packet;
-	sealed = frm_seal(&t->lane.out, &env, t->lane.buf,
-			  sizeof(t->lane.buf));
+	sealed = frm_seal(&t->lane.out, &env, t->lane.buf, sizeof(t->lane.buf));
 	met_add(&ing->nod->met, MET_FORWARDED, 1);
 	met_add(&ing->nod->met, MET_CACHE_HITS, (uint64_t)choice->cached);
 	if (sealed)
--- a/src/io/kv.c
+++ b/src/io/kv.c
@@ -6,113 +6,43 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define BODY_MAX (2u * KV_VALUE_MAX)
-
-void kv_global_init(void)
-{
-	curl_global_init(CURL_GLOBAL_DEFAULT);
-}
-
 enum jj_status kv_init(struct kv *kv, const char *url, uint32_t timeout_ms,
 		       struct met *met, const _Atomic int *stop)
 {
+	static const char scheme[] = "http://";
+	uint32_t ip;
+	uint16_t port;
+
 	memset(kv, 0, sizeof(*kv));
-	kv->curl = curl_easy_init();
-	if (!kv->curl)
-		return JJ_SYSTEM;
-	snprintf(kv->url, sizeof(kv->url), "%s", url);
 	kv->timeout_ms = timeout_ms;
 	kv->met = met;
-	kv->stop = stop;
+	if (strncmp(url, scheme, strlen(scheme)) != 0 ||
+	    tbl_parse_address(url + strlen(scheme), &ip, &port, NULL) != JJ_OK)
+		return JJ_INVALID;
+	if (htc_init(&kv->http, ip, port, stop) != JJ_OK)
+		return JJ_SYSTEM;
+	kv->http.wanted = "X-Consul-Index";
 	return JJ_OK;
 }
 
 void kv_finish(struct kv *kv)
 {
-	curl_easy_cleanup(kv->curl);
+	htc_finish(&kv->http);
 	free(kv->body);
 }
 
-/* -- HTTP ---------------------------------------------------------------- */
-
-static size_t on_body(char *data, size_t size, size_t count, void *ctx)
-{
-	struct kv *kv = ctx;
-	size_t len = size * count;
-	char *grown;
-
-	if (kv->body_len + len > BODY_MAX)
-		return 0;
-	grown = realloc(kv->body, kv->body_len + len + 1);
-	if (!grown)
-		return 0;
-	kv->body = grown;
-	memcpy(kv->body + kv->body_len, data, len);
-	kv->body_len += len;
-	kv->body[kv->body_len] = '\0';
-	return len;
-}
-
-static size_t on_header(char *data, size_t size, size_t count, void *ctx)
-{
-	static const char name[] = "X-Consul-Index:";
-	struct kv *kv = ctx;
-	size_t len = size * count;
-	char text[64];
-
-	if (len < sizeof(name) || len >= sizeof(text) ||
-	    strncasecmp(data, name, sizeof(name) - 1) != 0)
-		return len;
-	memcpy(text, data, len);
-	text[len] = '\0';
-	kv->header_index = strtoull(text + sizeof(name) - 1, NULL, 10);
-	return len;
-}
-
-static int on_progress(void *ctx, curl_off_t total, curl_off_t now,
-		       curl_off_t up_total, curl_off_t up_now)
+/* Status code of the answer, or 0 when none came. */
+static int call(struct kv *kv, enum evhttp_cmd_type method, const char *path,
+		const uint8_t *value, size_t len, uint32_t timeout_ms)
 {
-	struct kv *kv = ctx;
-
-	(void)total;
-	(void)now;
-	(void)up_total;
-	(void)up_now;
-	return kv->stop && *kv->stop;
-}
+	int code;
 
-/* Fresh options for one call; keeps the connection of the last one. */
-static void prepare(struct kv *kv, const char *url, uint32_t timeout_ms)
-{
-	curl_easy_reset(kv->curl);
 	free(kv->body);
 	kv->body = NULL;
-	kv->body_len = 0;
-	kv->header_index = 0;
-	curl_easy_setopt(kv->curl, CURLOPT_URL, url);
-	curl_easy_setopt(kv->curl, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(kv->curl, CURLOPT_PROXY, "");
-	curl_easy_setopt(kv->curl, CURLOPT_CONNECTTIMEOUT_MS,
-			 (long)kv->timeout_ms);
-	curl_easy_setopt(kv->curl, CURLOPT_TIMEOUT_MS, (long)timeout_ms);
-	curl_easy_setopt(kv->curl, CURLOPT_WRITEFUNCTION, on_body);
-	curl_easy_setopt(kv->curl, CURLOPT_WRITEDATA, kv);
-	curl_easy_setopt(kv->curl, CURLOPT_NOPROGRESS, 0L);
-	curl_easy_setopt(kv->curl, CURLOPT_XFERINFOFUNCTION, on_progress);
-	curl_easy_setopt(kv->curl, CURLOPT_XFERINFODATA, kv);
-	curl_easy_setopt(kv->curl, CURLOPT_HEADERFUNCTION, on_header);
-	curl_easy_setopt(kv->curl, CURLOPT_HEADERDATA, kv);
 	met_add(kv->met, MET_PLATFORM_CALLS, 1);
-}
-
-/* Status code of the answer, or 0 when none came. */
-static long perform(struct kv *kv)
-{
-	long code = 0;
-
-	if (curl_easy_perform(kv->curl) != CURLE_OK)
-		return 0;
-	curl_easy_getinfo(kv->curl, CURLINFO_RESPONSE_CODE, &code);
+	code = htc_call(&kv->http, method, path, (const char *)value, len,
+			timeout_ms, &kv->body, &kv->body_len);
+	kv->header_index = strtoull(kv->http.header, NULL, 10);
 	return code;
 }
 
@@ -151,19 +81,18 @@
 		     uint32_t wait_s, uint8_t **value, size_t *len,
 		     uint64_t *index)
 {
-	char url[700];
-	long code;
+	char path[700];
+	int code;
 
 	*value = NULL;
 	if (wait_s)
-		snprintf(url, sizeof(url), "%s/v1/kv/%s?index=%llu&wait=%us",
-			 kv->url, key, (unsigned long long)after, wait_s);
+		snprintf(path, sizeof(path), "/v1/kv/%s?index=%llu&wait=%us",
+			 key, (unsigned long long)after, wait_s);
 	else
-		snprintf(url, sizeof(url), "%s/v1/kv/%s?consistent", kv->url,
-			 key);
+		snprintf(path, sizeof(path), "/v1/kv/%s?consistent", key);
 	/* The platform may hold a watch for a sixteenth longer than asked. */
-	prepare(kv, url, kv->timeout_ms + wait_s * 1000 + wait_s * 1000 / 16);
-	code = perform(kv);
+	code = call(kv, EVHTTP_REQ_GET, path, NULL, 0,
+		    kv->timeout_ms + wait_s * 1000 + wait_s * 1000 / 16);
 	if (code == 404) {
 		*index = kv->header_index;
 		return EDT_READ_ABSENT;
@@ -174,17 +103,12 @@
 enum edt_swap kv_swap(struct kv *kv, const char *key, uint64_t index,
 		      const uint8_t *value, size_t len)
 {
-	char url[700];
-	long code;
+	char path[700];
+	int code;
 
-	snprintf(url, sizeof(url), "%s/v1/kv/%s?cas=%llu", kv->url, key,
+	snprintf(path, sizeof(path), "/v1/kv/%s?cas=%llu", key,
 		 (unsigned long long)index);
-	prepare(kv, url, kv->timeout_ms);
-	curl_easy_setopt(kv->curl, CURLOPT_CUSTOMREQUEST, "PUT");
-	curl_easy_setopt(kv->curl, CURLOPT_POSTFIELDS, (const char *)value);
-	curl_easy_setopt(kv->curl, CURLOPT_POSTFIELDSIZE_LARGE,
-			 (curl_off_t)len);
-	code = perform(kv);
+	code = call(kv, EVHTTP_REQ_PUT, path, value, len, kv->timeout_ms);
 	if (code != 200 || !kv->body)
 		return EDT_SWAP_UNKNOWN;
 	if (!strncmp(kv->body, "true", 4))
--- a/src/io/kv.h
+++ b/src/io/kv.h
@@ -7,27 +7,25 @@
 #ifndef JUJUBE_KV_H
 #define JUJUBE_KV_H
 
-#include <curl/curl.h>
+#include "http.h"
 #include "jujube/edit.h"
 #include "jujube/metric.h"
 
 #define KV_VALUE_MAX (1u << 20) /* bytes the platform takes in a value */
 
 struct kv {
-	CURL *curl;
-	char url[256];
+	struct htc http;
 	uint32_t timeout_ms;
 	struct met *met;
-	const _Atomic int *stop; /* non-zero ends a call early */
 	char *body;
 	size_t body_len;
 	uint64_t header_index;
 };
 
-/* Call once a process before kv_init(). */
-void kv_global_init(void);
-
-/* JJ_SYSTEM: no memory. url: "http://ip:port". */
+/*
+ * JJ_INVALID: url is not "http://ip:port"; JJ_SYSTEM: no memory. A non-zero
+ * *stop ends a call early.
+ */
 enum jj_status kv_init(struct kv *kv, const char *url, uint32_t timeout_ms,
 		       struct met *met, const _Atomic int *stop);
 void kv_finish(struct kv *kv);
--- a/src/io/node.c
+++ b/src/io/node.c
@@ -18,7 +18,7 @@
 {
 	lane->out = (struct frm_out){ .key = &nod->key,
 				      .sender = nod->id,
-				      .incarnation = nod->incarnation,
+				      .incarnation = &nod->incarnation,
 				      .lane = id,
 				      .revision = &nod->revision };
 }
@@ -192,6 +192,16 @@
 	return copy;
 }
 
+void nod_outlive(struct nod *nod, uint64_t former)
+{
+	pthread_mutex_lock(&nod->lock);
+	if (former >= nod->incarnation) {
+		nod->incarnation = former + 1;
+		mbr_set_incarnation(&nod->mbr, nod->incarnation);
+	}
+	pthread_mutex_unlock(&nod->lock);
+}
+
 void nod_meet(struct nod *nod, Jj__Member *member)
 {
 	const struct mbr_member *known;
@@ -459,9 +469,6 @@
 	nod->desc = *desc;
 	nod->id = rnk_name_id(desc->name);
 	nod->incarnation = net_wall_ms();
-	/* The clock may have been set back since the former life. */
-	if (nod->incarnation <= desc->former_incarnation)
-		nod->incarnation = desc->former_incarnation + 1;
 	nod->started_ms = net_now_ms();
 	nod->ip = net_parse_ip(desc->ip);
 	nod->control_fd = -1;
--- a/src/io/node.h
+++ b/src/io/node.h
@@ -78,7 +78,6 @@
 	uint32_t probe_ms;
 	uint32_t suspect_ms;
 	uint32_t gossip_ms;
-	uint64_t former_incarnation; /* of this name, 0: not known */
 	uint32_t members_max; /* 0: MBR_CAPACITY */
 	uint32_t rows_max; /* 0: TBL_ROWS */
 	uint32_t lanes_max; /* 0: FRM_LANES */
@@ -96,7 +95,7 @@
 struct nod {
 	struct nod_desc desc;
 	uint64_t id;
-	uint64_t incarnation;
+	_Atomic uint64_t incarnation; /* see nod_outlive() */
 	uint64_t started_ms;
 	uint32_t ip;
 	struct frm_key key;
@@ -115,7 +114,7 @@
 	_Atomic uint32_t others; /* live members besides this one */
 	_Atomic int stopping;
 	_Atomic int fence_logged;
-	_Atomic int joined; /* a seed gave its member list and table */
+	_Atomic int joined; /* all members there are were heard of */
 	int control_fd;
 	int listen_fd;
 	pthread_mutex_t pull_lock;
@@ -170,6 +169,12 @@
 /* This process's member record, on the heap; null: no memory. */
 Jj__Member *nod_own_record(struct nod *nod);
 
+/*
+ * A former life of this process had an incarnation: this one's becomes higher.
+ * The clock may have been set back since.
+ */
+void nod_outlive(struct nod *nod, uint64_t former);
+
 /* Takes note of a member that was read elsewhere and says hello to it. */
 void nod_meet(struct nod *nod, Jj__Member *member);
 
--- a/src/io/registry.c
+++ b/src/io/registry.c
@@ -71,21 +71,20 @@
 static void back_off(struct reg *reg)
 {
 	uint32_t base = reg->delay_ms ? reg->delay_ms : REG_RETRY_MS;
+	uint32_t most = reg->as_of ? REG_RETRY_MAX_MS : REG_RETRY_START_MS;
 
 	if (!reg->failures++)
 		log_put(reg->desc.log, EV_PLATFORM_DOWN, "as_of=%llu",
 			(unsigned long long)reg->as_of);
-	reg->delay_ms = base * 2 < REG_RETRY_MAX_MS ? base * 2 :
-						      REG_RETRY_MAX_MS;
+	reg->delay_ms = base * 2 < most ? base * 2 : most;
 	sleep_ms(base / 2 + randombytes_uniform(base / 2 + 1));
 }
 
 static void note_answer(struct reg *reg)
 {
 	if (reg->failures)
-		log_put(reg->desc.log, EV_PLATFORM_UP,
-			"failures=%u as_of=%llu", reg->failures,
-			(unsigned long long)reg->as_of);
+		log_put(reg->desc.log, EV_PLATFORM_UP, "failures=%u as_of=%llu",
+			reg->failures, (unsigned long long)reg->as_of);
 	reg->failures = 0;
 	reg->delay_ms = 0;
 }
@@ -100,8 +99,7 @@
 
 static Jj__Member *unpack_member(struct reg *reg, const struct reg_item *item)
 {
-	Jj__Member *member =
-		jj__member__unpack(NULL, item->len, item->value);
+	Jj__Member *member = jj__member__unpack(NULL, item->len, item->value);
 
 	if (!member)
 		log_put(reg->desc.log, EV_ITEM_REFUSED,
@@ -109,37 +107,6 @@
 	return member;
 }
 
-uint64_t reg_former_incarnation(struct reg *reg, const char *name)
-{
-	uint64_t until = net_now_ms() + REG_START_MS;
-	uint64_t former = 0;
-	struct reg_items items;
-	char key[201];
-	size_t i;
-
-	member_key(reg, name, key, sizeof(key));
-	while (list_all(reg, reg->desc.store.members, &items) != REG_OK) {
-		reg_items_free(&items);
-		if (net_now_ms() >= until)
-			return 0;
-		back_off(reg);
-	}
-	note_answer(reg);
-	for (i = 0; i < items.count; i++) {
-		Jj__Member *member;
-
-		if (strcmp(items.items[i].key, key))
-			continue;
-		member = unpack_member(reg, &items.items[i]);
-		if (member)
-			former = member->incarnation;
-		if (member)
-			jj__member__free_unpacked(member, NULL);
-	}
-	reg_items_free(&items);
-	return former;
-}
-
 static enum reg_status enter(struct reg *reg)
 {
 	const struct reg_store *store = &reg->desc.store;
@@ -165,8 +132,8 @@
 		reg->lease = 0;
 	if (status != REG_OK)
 		return status;
-	reg->entered = 1;
-	reg->renew_at = net_now_ms() + reg->desc.lease_ms / 3;
+	reg->step = REG_MEET;
+	reg->renew_at = net_now_ms() + reg->desc.lease_ms / 2;
 	log_put(reg->desc.log, EV_REGISTERED, "lease=%llu",
 		(unsigned long long)reg->lease);
 	return REG_OK;
@@ -175,8 +142,7 @@
 static enum reg_status meet_members(struct reg *reg)
 {
 	struct reg_items items;
-	enum reg_status status =
-		list_all(reg, reg->desc.store.members, &items);
+	enum reg_status status = list_all(reg, reg->desc.store.members, &items);
 	size_t i;
 
 	for (i = 0; status == REG_OK && i < items.count; i++) {
@@ -184,12 +150,16 @@
 
 		if (!member)
 			continue;
+		if (member->id == reg->nod->id && reg->step == REG_LOOK)
+			nod_outlive(reg->nod, member->incarnation);
 		nod_meet(reg->nod, member);
 		jj__member__free_unpacked(member, NULL);
 	}
 	reg_items_free(&items);
 	if (status == REG_OK)
-		reg->listed = 1;
+		reg->step = reg->step == REG_LOOK ? REG_ENTER : REG_MEMBER;
+	if (reg->step == REG_MEMBER)
+		reg->nod->joined = 1;
 	return status;
 }
 
@@ -199,13 +169,13 @@
 	enum reg_status status = store->renew(store->ctx, reg->lease);
 
 	if (status == REG_OK)
-		reg->renew_at = net_now_ms() + reg->desc.lease_ms / 3;
+		reg->renew_at = net_now_ms() + reg->desc.lease_ms / 2;
 	if (status != REG_ABSENT)
 		return status;
 	log_put(reg->desc.log, EV_LEASE_LOST, "lease=%llu",
 		(unsigned long long)reg->lease);
 	reg->lease = 0;
-	reg->entered = 0;
+	reg->step = REG_ENTER;
 	return REG_OK;
 }
 
@@ -217,9 +187,8 @@
 	struct tbl_row *rows = NULL;
 	uint32_t count = 0;
 
-	if (!item->removed &&
-	    store->rows(store->ctx, item, &rows, &count, reg->desc.log) !=
-		    JJ_OK)
+	if (!item->removed && store->rows(store->ctx, item, &rows, &count,
+					  reg->desc.log) != JJ_OK)
 		return;
 	nod_replace_rows(reg->nod, item->key, rows, count, item->revision);
 	free(rows);
@@ -300,9 +269,9 @@
 {
 	if (!reg->as_of)
 		return read_table(reg);
-	if (!reg->entered)
+	if (reg->step == REG_ENTER)
 		return enter(reg);
-	if (!reg->listed)
+	if (reg->step != REG_MEMBER)
 		return meet_members(reg);
 	if (net_now_ms() >= reg->renew_at)
 		return renew(reg);
--- a/src/io/registry.h
+++ b/src/io/registry.h
@@ -11,7 +11,7 @@
  *    replaced item by item; a list after a gap removes what is not there any
  *    more. Revisions only rise: an older answer changes nothing.
  *
- * What it costs: a call a watch_s, a renewal in a third of the lease, and one
+ * What it costs: a call a watch_s, a renewal in half of the lease, and one
  * call a change. While the store is away the fleet tells itself of changes by
  * revision, and calls are retried after an exponential delay with jitter.
  */
@@ -22,7 +22,7 @@
 
 #define REG_RETRY_MS 100 /* first delay after a failed call */
 #define REG_RETRY_MAX_MS 1600
-#define REG_START_MS 1500 /* longest wait for the store at a start */
+#define REG_RETRY_START_MS 400 /* longest delay while there is no table */
 #define REG_PAGES 64 /* of one list */
 #define REG_SOURCES 256 /* items that operators may have written */
 
@@ -78,6 +78,10 @@
 	const struct log_sink *log;
 };
 
+/* Entries are read before one's own is written, and after: of two processes
+ * that start together, one sees the other. */
+enum reg_step { REG_LOOK, REG_ENTER, REG_MEET, REG_MEMBER };
+
 struct reg {
 	struct reg_desc desc;
 	struct nod *nod; /* null until reg_start() */
@@ -85,8 +89,7 @@
 	_Atomic int stopping;
 	uint64_t lease; /* 0: none */
 	uint64_t renew_at; /* ms */
-	int entered;
-	int listed; /* members were read after the entry was written */
+	enum reg_step step; /* in becoming a member */
 	uint64_t as_of; /* operators' items are known up to it, 0: not yet */
 	uint32_t delay_ms;
 	uint32_t failures; /* in a row */
@@ -98,12 +101,6 @@
 
 void reg_init(struct reg *reg, const struct reg_desc *desc);
 
-/*
- * Incarnation that a former life of this process has entered, 0: none known.
- * Waits REG_START_MS at most for the store.
- */
-uint64_t reg_former_incarnation(struct reg *reg, const char *name);
-
 enum jj_status reg_start(struct reg *reg, struct nod *nod,
 			 struct jj_error *err);
 /* Ends the thread and takes the entry back. */
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -120,6 +120,7 @@
 	frm_key key;
 	frm_replay replay;
 	frm_out out = {};
+	std::atomic<uint64_t> incarnation{ 5 };
 	uint8_t buf[FRM_MAX_DATAGRAM];
 
 	void SetUp() override
@@ -131,7 +132,7 @@
 		ASSERT_TRUE(frm_replay_init(&replay, 64));
 		out.key = &key;
 		out.sender = 7;
-		out.incarnation = 5;
+		out.incarnation = &incarnation;
 	}
 	void TearDown() override
 	{
@@ -189,7 +190,7 @@
 	size_t len = seal();
 
 	memcpy(old, buf, len);
-	out.incarnation = 6;
+	incarnation = 6;
 	EXPECT_EQ(open(seal()), JJ_OK);
 	memcpy(buf, old, len);
 	EXPECT_EQ(open(len), JJ_REPLAYED);
@@ -202,6 +203,7 @@
 	frm_replay replay;
 	naive::replay model;
 	uint64_t highest = 0;
+	std::atomic<uint64_t> one{ 1 };
 
 	RC_ASSERT(frm_replay_init(&replay, 64));
 	for (uint16_t raw : counters) {
@@ -213,7 +215,7 @@
 
 		out.key = &key;
 		out.sender = 3;
-		out.incarnation = 1;
+		out.incarnation = &one;
 		out.counter = counter - 1;
 		jj__envelope__init(&env);
 		size_t len = frm_seal(&out, &env, buf, sizeof(buf));
