--- a/gen/settings.pb-c.c
+++ b/gen/settings.pb-c.c
@@ -592,6 +592,51 @@
   assert(message->base.descriptor == &jj__agent_settings__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   jj__relay_agent_settings__init
+                     (Jj__RelayAgentSettings         *message)
+{
+  static const Jj__RelayAgentSettings init_value = JJ__RELAY_AGENT_SETTINGS__INIT;
+  *message = init_value;
+}
+size_t jj__relay_agent_settings__get_packed_size
+                     (const Jj__RelayAgentSettings *message)
+{
+  assert(message->base.descriptor == &jj__relay_agent_settings__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jj__relay_agent_settings__pack
+                     (const Jj__RelayAgentSettings *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jj__relay_agent_settings__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jj__relay_agent_settings__pack_to_buffer
+                     (const Jj__RelayAgentSettings *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jj__relay_agent_settings__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jj__RelayAgentSettings *
+       jj__relay_agent_settings__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jj__RelayAgentSettings *)
+     protobuf_c_message_unpack (&jj__relay_agent_settings__descriptor,
+                                allocator, len, data);
+}
+void   jj__relay_agent_settings__free_unpacked
+                     (Jj__RelayAgentSettings *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jj__relay_agent_settings__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   jj__operator_section__init
                      (Jj__OperatorSection         *message)
 {
@@ -1488,66 +1533,90 @@
   (ProtobufCMessageInit) jj__ingress_section__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-char jj__egress_section__address__default_value[] = "";
 char jj__egress_section__ready__default_value[] = "";
-char jj__egress_section__heartbeats__default_value[] = "";
-char jj__egress_section__callers__default_value[] = "";
 static const uint32_t jj__egress_section__heartbeat_ms__default_value = 1000u;
+static const uint32_t jj__egress_section__threads__default_value = 1u;
+static const uint32_t jj__egress_section__max_flows__default_value = 2000u;
+static const uint32_t jj__egress_section__queue__default_value = 4u;
 static const uint32_t jj__egress_section__flow_ttl_s__default_value = 60u;
 static const uint32_t jj__egress_section__drain_ms__default_value = 4000u;
-static const ProtobufCFieldDescriptor jj__egress_section__field_descriptors[7] =
+static const ProtobufCFieldDescriptor jj__egress_section__field_descriptors[12] =
 {
   {
-    "address",
+    "service",
     1,
-    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_LABEL_REQUIRED,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Jj__EgressSection, address),
+    offsetof(Jj__EgressSection, service),
+    NULL,
     NULL,
-    &jj__egress_section__address__default_value,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "ready",
+    "target",
     2,
-    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_LABEL_REQUIRED,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Jj__EgressSection, ready),
+    offsetof(Jj__EgressSection, target),
+    NULL,
     NULL,
-    &jj__egress_section__ready__default_value,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "heartbeats",
+    "address",
     3,
-    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_LABEL_REQUIRED,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Jj__EgressSection, heartbeats),
+    offsetof(Jj__EgressSection, address),
+    NULL,
     NULL,
-    &jj__egress_section__heartbeats__default_value,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
     "callers",
     4,
-    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_LABEL_REQUIRED,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
     offsetof(Jj__EgressSection, callers),
     NULL,
-    &jj__egress_section__callers__default_value,
+    NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "heartbeat_ms",
+    "heartbeats",
     5,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jj__EgressSection, heartbeats),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ready",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jj__EgressSection, ready),
+    NULL,
+    &jj__egress_section__ready__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "heartbeat_ms",
+    7,
     PROTOBUF_C_LABEL_OPTIONAL,
     PROTOBUF_C_TYPE_UINT32,
     offsetof(Jj__EgressSection, has_heartbeat_ms),
@@ -1557,9 +1626,45 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "threads",
+    8,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Jj__EgressSection, has_threads),
+    offsetof(Jj__EgressSection, threads),
+    NULL,
+    &jj__egress_section__threads__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_flows",
+    9,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Jj__EgressSection, has_max_flows),
+    offsetof(Jj__EgressSection, max_flows),
+    NULL,
+    &jj__egress_section__max_flows__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queue",
+    10,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Jj__EgressSection, has_queue),
+    offsetof(Jj__EgressSection, queue),
+    NULL,
+    &jj__egress_section__queue__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "flow_ttl_s",
-    6,
+    11,
     PROTOBUF_C_LABEL_OPTIONAL,
     PROTOBUF_C_TYPE_UINT32,
     offsetof(Jj__EgressSection, has_flow_ttl_s),
@@ -1571,7 +1676,7 @@
   },
   {
     "drain_ms",
-    7,
+    12,
     PROTOBUF_C_LABEL_OPTIONAL,
     PROTOBUF_C_TYPE_UINT32,
     offsetof(Jj__EgressSection, has_drain_ms),
@@ -1583,18 +1688,23 @@
   },
 };
 static const unsigned jj__egress_section__field_indices_by_name[] = {
-  0,   /* field[0] = address */
+  2,   /* field[2] = address */
   3,   /* field[3] = callers */
-  6,   /* field[6] = drain_ms */
-  5,   /* field[5] = flow_ttl_s */
-  4,   /* field[4] = heartbeat_ms */
-  2,   /* field[2] = heartbeats */
-  1,   /* field[1] = ready */
+  11,   /* field[11] = drain_ms */
+  10,   /* field[10] = flow_ttl_s */
+  6,   /* field[6] = heartbeat_ms */
+  4,   /* field[4] = heartbeats */
+  8,   /* field[8] = max_flows */
+  9,   /* field[9] = queue */
+  5,   /* field[5] = ready */
+  0,   /* field[0] = service */
+  1,   /* field[1] = target */
+  7,   /* field[7] = threads */
 };
 static const ProtobufCIntRange jj__egress_section__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor jj__egress_section__descriptor =
 {
@@ -1604,14 +1714,13 @@
   "Jj__EgressSection",
   "jj",
   sizeof(Jj__EgressSection),
-  7,
+  12,
   jj__egress_section__field_descriptors,
   jj__egress_section__field_indices_by_name,
   1,  jj__egress_section__number_ranges,
   (ProtobufCMessageInit) jj__egress_section__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-char jj__registry_section__address__default_value[] = "";
 static const uint32_t jj__registry_section__lease_s__default_value = 20u;
 static const uint32_t jj__registry_section__watch_s__default_value = 20u;
 static const uint32_t jj__registry_section__timeout_ms__default_value = 500u;
@@ -1620,12 +1729,12 @@
   {
     "address",
     1,
-    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_LABEL_REQUIRED,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
     offsetof(Jj__RegistrySection, address),
     NULL,
-    &jj__registry_section__address__default_value,
+    NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
@@ -1924,7 +2033,7 @@
   (ProtobufCMessageInit) jj__relay_settings__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jj__agent_settings__field_descriptors[6] =
+static const ProtobufCFieldDescriptor jj__agent_settings__field_descriptors[4] =
 {
   {
     "identity",
@@ -1974,13 +2083,66 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned jj__agent_settings__field_indices_by_name[] = {
+  1,   /* field[1] = fleet */
+  0,   /* field[0] = identity */
+  3,   /* field[3] = log */
+  2,   /* field[2] = target */
+};
+static const ProtobufCIntRange jj__agent_settings__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor jj__agent_settings__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jj.AgentSettings",
+  "AgentSettings",
+  "Jj__AgentSettings",
+  "jj",
+  sizeof(Jj__AgentSettings),
+  4,
+  jj__agent_settings__field_descriptors,
+  jj__agent_settings__field_indices_by_name,
+  1,  jj__agent_settings__number_ranges,
+  (ProtobufCMessageInit) jj__agent_settings__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jj__relay_agent_settings__field_descriptors[5] =
+{
+  {
+    "identity",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Jj__RelayAgentSettings, identity),
+    &jj__identity_section__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fleet",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Jj__RelayAgentSettings, fleet),
+    &jj__fleet_section__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "egress",
-    5,
-    PROTOBUF_C_LABEL_OPTIONAL,
+    3,
+    PROTOBUF_C_LABEL_REQUIRED,
     PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Jj__AgentSettings, egress),
+    offsetof(Jj__RelayAgentSettings, egress),
     &jj__egress_section__descriptor,
     NULL,
     0,             /* flags */
@@ -1988,43 +2150,54 @@
   },
   {
     "registry",
-    6,
-    PROTOBUF_C_LABEL_OPTIONAL,
+    4,
+    PROTOBUF_C_LABEL_REQUIRED,
     PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Jj__AgentSettings, registry),
+    offsetof(Jj__RelayAgentSettings, registry),
     &jj__registry_section__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "log",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Jj__RelayAgentSettings, log),
+    &jj__log_section__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const unsigned jj__agent_settings__field_indices_by_name[] = {
-  4,   /* field[4] = egress */
+static const unsigned jj__relay_agent_settings__field_indices_by_name[] = {
+  2,   /* field[2] = egress */
   1,   /* field[1] = fleet */
   0,   /* field[0] = identity */
-  3,   /* field[3] = log */
-  5,   /* field[5] = registry */
-  2,   /* field[2] = target */
+  4,   /* field[4] = log */
+  3,   /* field[3] = registry */
 };
-static const ProtobufCIntRange jj__agent_settings__number_ranges[1 + 1] =
+static const ProtobufCIntRange jj__relay_agent_settings__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 5 }
 };
-const ProtobufCMessageDescriptor jj__agent_settings__descriptor =
+const ProtobufCMessageDescriptor jj__relay_agent_settings__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "jj.AgentSettings",
-  "AgentSettings",
-  "Jj__AgentSettings",
+  "jj.RelayAgentSettings",
+  "RelayAgentSettings",
+  "Jj__RelayAgentSettings",
   "jj",
-  sizeof(Jj__AgentSettings),
-  6,
-  jj__agent_settings__field_descriptors,
-  jj__agent_settings__field_indices_by_name,
-  1,  jj__agent_settings__number_ranges,
-  (ProtobufCMessageInit) jj__agent_settings__init,
+  sizeof(Jj__RelayAgentSettings),
+  5,
+  jj__relay_agent_settings__field_descriptors,
+  jj__relay_agent_settings__field_indices_by_name,
+  1,  jj__relay_agent_settings__number_ranges,
+  (ProtobufCMessageInit) jj__relay_agent_settings__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 char jj__operator_section__who__default_value[] = "operator";
--- a/gen/settings.pb-c.h
+++ b/gen/settings.pb-c.h
@@ -28,6 +28,7 @@
 typedef struct Jj__BalancerSettings Jj__BalancerSettings;
 typedef struct Jj__RelaySettings Jj__RelaySettings;
 typedef struct Jj__AgentSettings Jj__AgentSettings;
+typedef struct Jj__RelayAgentSettings Jj__RelayAgentSettings;
 typedef struct Jj__OperatorSection Jj__OperatorSection;
 typedef struct Jj__OperatorSettings Jj__OperatorSettings;
 
@@ -213,15 +214,15 @@
 struct  Jj__EgressSection
 {
   ProtobufCMessage base;
+  char *service;
   /*
-   * ip:port the target sends to
+   * ip:port of the server
    */
-  char *address;
-  char *ready;
+  char *target;
   /*
-   * ip:port for the target's
+   * ip:port that it sends to
    */
-  char *heartbeats;
+  char *address;
   /*
    * ip:port; callers are reached
    */
@@ -229,20 +230,34 @@
   /*
    * at its port
    */
+  /*
+   * ip:port for the target's
+   */
+  char *heartbeats;
+  /*
+   * ip:port of the readiness check
+   */
+  char *ready;
   protobuf_c_boolean has_heartbeat_ms;
   uint32_t heartbeat_ms;
+  protobuf_c_boolean has_threads;
+  uint32_t threads;
+  protobuf_c_boolean has_max_flows;
+  uint32_t max_flows;
+  /*
+   * work in hand beyond the slots
+   */
+  protobuf_c_boolean has_queue;
+  uint32_t queue;
   protobuf_c_boolean has_flow_ttl_s;
   uint32_t flow_ttl_s;
   protobuf_c_boolean has_drain_ms;
   uint32_t drain_ms;
 };
-extern char jj__egress_section__address__default_value[];
 extern char jj__egress_section__ready__default_value[];
-extern char jj__egress_section__heartbeats__default_value[];
-extern char jj__egress_section__callers__default_value[];
 #define JJ__EGRESS_SECTION__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jj__egress_section__descriptor) \
-    , jj__egress_section__address__default_value, jj__egress_section__ready__default_value, jj__egress_section__heartbeats__default_value, jj__egress_section__callers__default_value, 0, 1000u, 0, 60u, 0, 4000u }
+    , NULL, NULL, NULL, NULL, NULL, jj__egress_section__ready__default_value, 0, 1000u, 0, 1u, 0, 2000u, 0, 4u, 0, 60u, 0, 4000u }
 
 
 /*
@@ -252,7 +267,7 @@
 {
   ProtobufCMessage base;
   /*
-   * ip:port, "": not used
+   * ip:port of the store
    */
   char *address;
   protobuf_c_boolean has_lease_s;
@@ -262,10 +277,9 @@
   protobuf_c_boolean has_timeout_ms;
   uint32_t timeout_ms;
 };
-extern char jj__registry_section__address__default_value[];
 #define JJ__REGISTRY_SECTION__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jj__registry_section__descriptor) \
-    , jj__registry_section__address__default_value, 0, 20u, 0, 20u, 0, 500u }
+    , NULL, 0, 20u, 0, 20u, 0, 500u }
 
 
 struct  Jj__LogSection
@@ -315,12 +329,24 @@
   Jj__FleetSection *fleet;
   Jj__TargetSection *target;
   Jj__LogSection *log;
-  Jj__EgressSection *egress;
-  Jj__RegistrySection *registry;
 };
 #define JJ__AGENT_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jj__agent_settings__descriptor) \
-    , NULL, NULL, NULL, NULL, NULL, NULL }
+    , NULL, NULL, NULL, NULL }
+
+
+struct  Jj__RelayAgentSettings
+{
+  ProtobufCMessage base;
+  Jj__IdentitySection *identity;
+  Jj__FleetSection *fleet;
+  Jj__EgressSection *egress;
+  Jj__RegistrySection *registry;
+  Jj__LogSection *log;
+};
+#define JJ__RELAY_AGENT_SETTINGS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jj__relay_agent_settings__descriptor) \
+    , NULL, NULL, NULL, NULL, NULL }
 
 
 struct  Jj__OperatorSection
@@ -599,6 +625,25 @@
 void   jj__agent_settings__free_unpacked
                      (Jj__AgentSettings *message,
                       ProtobufCAllocator *allocator);
+/* Jj__RelayAgentSettings methods */
+void   jj__relay_agent_settings__init
+                     (Jj__RelayAgentSettings         *message);
+size_t jj__relay_agent_settings__get_packed_size
+                     (const Jj__RelayAgentSettings   *message);
+size_t jj__relay_agent_settings__pack
+                     (const Jj__RelayAgentSettings   *message,
+                      uint8_t             *out);
+size_t jj__relay_agent_settings__pack_to_buffer
+                     (const Jj__RelayAgentSettings   *message,
+                      ProtobufCBuffer     *buffer);
+Jj__RelayAgentSettings *
+       jj__relay_agent_settings__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jj__relay_agent_settings__free_unpacked
+                     (Jj__RelayAgentSettings *message,
+                      ProtobufCAllocator *allocator);
 /* Jj__OperatorSection methods */
 void   jj__operator_section__init
                      (Jj__OperatorSection         *message);
@@ -678,6 +723,9 @@
 typedef void (*Jj__AgentSettings_Closure)
                  (const Jj__AgentSettings *message,
                   void *closure_data);
+typedef void (*Jj__RelayAgentSettings_Closure)
+                 (const Jj__RelayAgentSettings *message,
+                  void *closure_data);
 typedef void (*Jj__OperatorSection_Closure)
                  (const Jj__OperatorSection *message,
                   void *closure_data);
@@ -703,6 +751,7 @@
 extern const ProtobufCMessageDescriptor jj__balancer_settings__descriptor;
 extern const ProtobufCMessageDescriptor jj__relay_settings__descriptor;
 extern const ProtobufCMessageDescriptor jj__agent_settings__descriptor;
+extern const ProtobufCMessageDescriptor jj__relay_agent_settings__descriptor;
 extern const ProtobufCMessageDescriptor jj__operator_section__descriptor;
 extern const ProtobufCMessageDescriptor jj__operator_settings__descriptor;
 
--- a/include/jujube/flow.h
+++ b/include/jujube/flow.h
@@ -43,7 +43,7 @@
 #include "jujube/metric.h"
 #include "jujube/view.h"
 
-#define FLW_SHARDS 8
+#define FLW_SHARDS 4
 #define FLW_PEERS 256
 #define FLW_NONE UINT32_MAX
 #define FLW_OPENING_MAX 64 /* bytes of an opening packet */
@@ -246,6 +246,8 @@
 	struct flw_desc desc;
 	uint64_t service;
 	uint64_t started;
+	struct flw_flow *flows; /* of all shards */
+	struct flw_exception *exceptions;
 	struct flw_shard shards[FLW_SHARDS];
 	uint32_t flow_capacity; /* a shard */
 	JJ_ATOMIC(uint32_t) flow_count;
--- a/include/jujube/frame.h
+++ b/include/jujube/frame.h
@@ -55,6 +55,7 @@
 };
 
 struct frm_replay {
+	struct frm_lane *lanes; /* of all shards */
 	struct frm_shard shards[FRM_SHARDS];
 };
 
--- a/include/jujube/route.h
+++ b/include/jujube/route.h
@@ -36,6 +36,7 @@
 
 struct rt {
 	struct rt_desc desc;
+	struct rt_entry *entries; /* of all shards */
 	struct rt_shard shards[RT_SHARDS];
 	uint32_t sets; /* a shard, power of two */
 };
--- a/src/core/flow.c
+++ b/src/core/flow.c
@@ -26,33 +26,26 @@
 enum jj_status flw_init(struct flw *flw, const struct flw_desc *desc,
 			uint64_t now)
 {
-	int i;
-
 	memset(flw, 0, sizeof(*flw));
 	flw->desc = *desc;
 	flw->service = rnk_name_id(desc->service);
 	flw->started = now;
-	/* Twice the even share: keys do not spread evenly over few shards. */
-	flw->flow_capacity = desc->max_flows / FLW_SHARDS * 2 + 16;
+	/* A quarter over the even share: keys fall unevenly on shards. */
+	flw->flow_capacity = desc->max_flows / FLW_SHARDS * 5 / 4 + 16;
 	pthread_mutex_init(&flw->target_lock, NULL);
 	pthread_mutex_init(&flw->peer_lock, NULL);
 	pthread_mutex_init(&flw->wait_lock, NULL);
 	pthread_mutex_init(&flw->trial_lock, NULL);
-	for (i = 0; i < FLW_SHARDS; i++) {
-		if (flw_init_shard(&flw->shards[i], flw->flow_capacity)) {
-			flw_finish(flw);
-			return JJ_SYSTEM;
-		}
+	if (flw_init_tables(flw) != JJ_OK) {
+		flw_finish(flw);
+		return JJ_SYSTEM;
 	}
 	return JJ_OK;
 }
 
 void flw_finish(struct flw *flw)
 {
-	int i;
-
-	for (i = 0; i < FLW_SHARDS; i++)
-		flw_finish_shard(&flw->shards[i]);
+	flw_finish_tables(flw);
 	pthread_mutex_destroy(&flw->target_lock);
 	pthread_mutex_destroy(&flw->peer_lock);
 	pthread_mutex_destroy(&flw->wait_lock);
--- a/src/core/flow_internal.h
+++ b/src/core/flow_internal.h
@@ -22,8 +22,8 @@
 };
 
 /* flow_table.c: flows and exceptions of one shard */
-enum jj_status flw_init_shard(struct flw_shard *shard, uint32_t capacity);
-void flw_finish_shard(struct flw_shard *shard);
+enum jj_status flw_init_tables(struct flw *flw);
+void flw_finish_tables(struct flw *flw);
 struct flw_shard *flw_shard_of(struct flw *flw, uint64_t key);
 struct flw_flow *flw_find(struct flw_shard *shard, uint64_t key);
 /* Null: no room. */
--- a/src/core/flow_table.c
+++ b/src/core/flow_table.c
@@ -5,33 +5,54 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum jj_status flw_init_shard(struct flw_shard *shard, uint32_t capacity)
+static enum jj_status init_shard(struct flw *flw, uint32_t number)
 {
-	uint32_t cells = map_cells_for(capacity);
+	struct flw_shard *shard = &flw->shards[number];
+	uint32_t cells = map_cells_for(flw->flow_capacity);
 
 	pthread_mutex_init(&shard->lock, NULL);
-	shard->flows = calloc(capacity, sizeof(*shard->flows));
+	shard->flows = flw->flows + (size_t)number * flw->flow_capacity;
+	shard->exceptions =
+		flw->exceptions + (size_t)number * flw->flow_capacity;
+	shard->exception_count = flw->flow_capacity;
+	shard->flow_free = FLW_NONE;
 	shard->flow_cells = malloc(cells * sizeof(*shard->flow_cells));
-	shard->exceptions = calloc(capacity, sizeof(*shard->exceptions));
 	shard->exception_cells =
 		malloc(cells * sizeof(*shard->exception_cells));
-	if (!shard->flows || !shard->flow_cells || !shard->exceptions ||
-	    !shard->exception_cells)
+	if (!shard->flow_cells || !shard->exception_cells)
 		return JJ_SYSTEM;
-	shard->flow_free = FLW_NONE;
-	shard->exception_count = capacity;
 	map_init(&shard->flow_index, shard->flow_cells, cells);
 	map_init(&shard->exception_index, shard->exception_cells, cells);
 	return JJ_OK;
 }
 
-void flw_finish_shard(struct flw_shard *shard)
+enum jj_status flw_init_tables(struct flw *flw)
 {
-	free(shard->flows);
-	free(shard->flow_cells);
-	free(shard->exceptions);
-	free(shard->exception_cells);
-	pthread_mutex_destroy(&shard->lock);
+	size_t cells = (size_t)flw->flow_capacity * FLW_SHARDS;
+	uint32_t i;
+
+	/* One block each: pages that are not needed are never touched. */
+	flw->flows = calloc(cells, sizeof(*flw->flows));
+	flw->exceptions = calloc(cells, sizeof(*flw->exceptions));
+	if (!flw->flows || !flw->exceptions)
+		return JJ_SYSTEM;
+	for (i = 0; i < FLW_SHARDS; i++)
+		if (init_shard(flw, i) != JJ_OK)
+			return JJ_SYSTEM;
+	return JJ_OK;
+}
+
+void flw_finish_tables(struct flw *flw)
+{
+	uint32_t i;
+
+	free(flw->flows);
+	free(flw->exceptions);
+	for (i = 0; i < FLW_SHARDS; i++) {
+		free(flw->shards[i].flow_cells);
+		free(flw->shards[i].exception_cells);
+		pthread_mutex_destroy(&flw->shards[i].lock);
+	}
 }
 
 struct flw_shard *flw_shard_of(struct flw *flw, uint64_t key)
--- a/src/core/frame.c
+++ b/src/core/frame.c
@@ -61,15 +61,18 @@
 		lanes = FRM_LANES;
 	while (capacity * FRM_SHARDS < lanes)
 		capacity *= 2;
+	/* One block: pages that no lane falls on are never touched. */
+	replay->lanes = calloc((size_t)capacity * FRM_SHARDS,
+			       sizeof(*replay->lanes));
+	if (!replay->lanes)
+		return 0;
 	for (i = 0; i < FRM_SHARDS; i++) {
 		struct frm_shard *shard = &replay->shards[i];
 
 		pthread_mutex_init(&shard->lock, NULL);
 		shard->capacity = capacity;
 		shard->used = 0;
-		shard->lanes = calloc(capacity, sizeof(*shard->lanes));
-		if (!shard->lanes)
-			return 0;
+		shard->lanes = replay->lanes + (size_t)i * capacity;
 	}
 	return 1;
 }
@@ -78,10 +81,9 @@
 {
 	int i;
 
-	for (i = 0; i < FRM_SHARDS; i++) {
-		free(replay->shards[i].lanes);
+	free(replay->lanes);
+	for (i = 0; i < FRM_SHARDS; i++)
 		pthread_mutex_destroy(&replay->shards[i].lock);
-	}
 }
 
 static struct frm_lane *find_lane(struct frm_shard *shard, uint64_t id)
--- a/src/core/route.c
+++ b/src/core/route.c
@@ -19,12 +19,15 @@
 	while ((uint64_t)rt->sets * RT_SHARDS * RT_WAYS <
 	       (uint64_t)rt->desc.max_flows * 5 / 4)
 		rt->sets *= 2;
+	/* One block: pages that no flow falls on are never touched. */
+	rt->entries = calloc((size_t)rt->sets * RT_WAYS * RT_SHARDS,
+			     sizeof(*rt->entries));
+	if (!rt->entries)
+		return JJ_SYSTEM;
 	for (i = 0; i < RT_SHARDS; i++) {
 		pthread_mutex_init(&rt->shards[i].lock, NULL);
-		rt->shards[i].entries = calloc((size_t)rt->sets * RT_WAYS,
-					       sizeof(struct rt_entry));
-		if (!rt->shards[i].entries)
-			return JJ_SYSTEM;
+		rt->shards[i].entries =
+			rt->entries + (size_t)i * rt->sets * RT_WAYS;
 	}
 	return JJ_OK;
 }
@@ -33,10 +36,9 @@
 {
 	uint32_t i;
 
-	for (i = 0; i < RT_SHARDS; i++) {
-		free(rt->shards[i].entries);
+	free(rt->entries);
+	for (i = 0; i < RT_SHARDS; i++)
 		pthread_mutex_destroy(&rt->shards[i].lock);
-	}
 }
 
 uint64_t rt_flow_key(uint32_t caller_ip, uint16_t caller_port, uint64_t service)
