--- a/src/io/http.h
+++ b/src/io/http.h
@@ -15,6 +15,7 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <pthread.h>
+#include "jujube/atomic.h"
 #include "jujube/status.h"
 
 #define HTC_BODY_MAX (8u << 20) /* bytes of an answer */
@@ -26,7 +27,7 @@
 	struct evhttp_connection *conn; /* null: opened by the next call */
 	char host[16];
 	uint16_t port;
-	const _Atomic int *stop;
+	const JJ_ATOMIC(int) *stop;
 	const char *wanted; /* name of an answer's header to keep, or null */
 	char header[64]; /* its value in the last answer, "": none */
 	/* of the call in progress */
@@ -38,7 +39,7 @@
 
 /* JJ_SYSTEM: no memory. */
 enum jj_status htc_init(struct htc *htc, uint32_t ip, uint16_t port,
-			const _Atomic int *stop);
+			const JJ_ATOMIC(int) *stop);
 void htc_finish(struct htc *htc);
 
 /*
@@ -79,7 +80,7 @@
 	hts_handler handler;
 	void *ctx;
 	pthread_t thread;
-	_Atomic int stopping;
+	JJ_ATOMIC(int) stopping;
 	int running;
 };
 
--- a/src/io/logio.h
+++ b/src/io/logio.h
@@ -8,6 +8,7 @@
 #ifndef JUJUBE_LOGIO_H
 #define JUJUBE_LOGIO_H
 
+#include "jujube/atomic.h"
 #include <pthread.h>
 #include "jujube/log.h"
 
@@ -17,7 +18,7 @@
 struct lio {
 	struct log_sink sink;
 	const char *program;
-	_Atomic int level;
+	JJ_ATOMIC(int) level;
 	pthread_mutex_t lock;
 	uint64_t window[LIO_EVENTS]; /* second of the last line */
 	uint32_t count[LIO_EVENTS];
--- a/src/io/node.h
+++ b/src/io/node.h
@@ -13,7 +13,7 @@
 #define JUJUBE_NODE_H
 
 #include <pthread.h>
-#include <stdatomic.h>
+#include "jujube/atomic.h"
 #include <stdio.h>
 #include "jujube/frame.h"
 #include "jujube/member.h"
@@ -95,7 +95,7 @@
 struct nod {
 	struct nod_desc desc;
 	uint64_t id;
-	_Atomic uint64_t incarnation; /* see nod_outlive() */
+	JJ_ATOMIC(uint64_t) incarnation; /* see nod_outlive() */
 	uint64_t started_ms;
 	uint32_t ip;
 	struct frm_key key;
@@ -109,12 +109,12 @@
 	int dirty; /* the view must be built anew */
 	struct viw *view; /* read under liburcu */
 	uint64_t views; /* published so far */
-	_Atomic uint64_t revision;
-	_Atomic uint64_t confirmed_ms;
-	_Atomic uint32_t others; /* live members besides this one */
-	_Atomic int stopping;
-	_Atomic int fence_logged;
-	_Atomic int joined; /* all members there are were heard of */
+	JJ_ATOMIC(uint64_t) revision;
+	JJ_ATOMIC(uint64_t) confirmed_ms;
+	JJ_ATOMIC(uint32_t) others; /* live members besides this one */
+	JJ_ATOMIC(int) stopping;
+	JJ_ATOMIC(int) fence_logged;
+	JJ_ATOMIC(int) joined; /* all members there are were heard of */
 	int control_fd;
 	int listen_fd;
 	pthread_mutex_t pull_lock;
@@ -123,7 +123,7 @@
 	pthread_t control_thread;
 	pthread_t pull_thread;
 	pthread_t transfer_threads[NOD_TRANSFERS];
-	_Atomic uint32_t next_transfer_lane;
+	JJ_ATOMIC(uint32_t) next_transfer_lane;
 };
 
 enum jj_status nod_init(struct nod *nod, const struct nod_desc *desc,
--- a/src/io/registry.h
+++ b/src/io/registry.h
@@ -86,7 +86,7 @@
 	struct reg_desc desc;
 	struct nod *nod; /* null until reg_start() */
 	pthread_t thread;
-	_Atomic int stopping;
+	JJ_ATOMIC(int) stopping;
 	uint64_t lease; /* 0: none */
 	uint64_t renew_at; /* ms */
 	enum reg_step step; /* in becoming a member */
--- /dev/null
+++ b/tests/platform_test.cc
@@ -0,0 +1,293 @@
+/* The adapter to the users' platform: what is spoken, and bad input. */
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include <cstdlib>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "platform.h"
+}
+
+/* -- packets ------------------------------------------------------------- */
+
+/* The examples of the platform's page. */
+static const std::vector<uint8_t> OPENING = {
+	0x11, 0x22, 0x33, 0x44, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00,
+	0xc6, 0x12, 0x00, 0x01, 0x64, 0x40, 0x00, 0x07, 0x9c, 0x41, 0x01, 0xbb,
+	0xa1, 0xb2, 0xc3, 0xd5, 0x01, 0x00, 0x00, 0x00, 0x00, 0x00
+};
+static const std::vector<uint8_t> RESET = {
+	0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00,
+	0x64, 0x40, 0x00, 0x07, 0xc6, 0x12, 0x00, 0x01, 0x01, 0xbb, 0x9c, 0x41,
+	0x00, 0x00, 0x00, 0x00, 0x02, 0x00, 0x00, 0x00, 0x00, 0x00
+};
+
+TEST(Packet, TheExampleOpeningIsRead)
+{
+	flw_packet head;
+
+	ASSERT_EQ(pf_codec().decode(OPENING.data(), OPENING.size(), 0, &head),
+		  JJ_OK);
+	EXPECT_EQ(head.caller_ip, 0x64400007u);
+	EXPECT_EQ(head.caller_port, 40001);
+	EXPECT_EQ(head.service_ip, 0xc6120001u);
+	EXPECT_EQ(head.service_port, 443);
+	EXPECT_EQ(head.seq, 0x11223344u);
+	EXPECT_TRUE(head.opens);
+	EXPECT_FALSE(head.acknowledges);
+	EXPECT_EQ(head.repeat, 0);
+}
+
+TEST(Packet, AResetIsAsInTheExample)
+{
+	flw_packet head;
+	uint8_t buf[PF_HEAD_BYTES];
+
+	pf_codec().decode(OPENING.data(), OPENING.size(), 0, &head);
+	ASSERT_EQ(pf_codec().reset(&head, 0, buf, sizeof(buf)), RESET.size());
+	EXPECT_EQ(std::vector<uint8_t>(buf, buf + sizeof(buf)), RESET);
+	EXPECT_EQ(pf_codec().reset(&head, 0, buf, sizeof(buf) - 1), 0u);
+}
+
+/* What a target returns still has its caller as the source. */
+TEST(Packet, AReturnedOneBelongsToItsCallersFlow)
+{
+	std::vector<uint8_t> data = OPENING;
+	flw_packet sent;
+	flw_packet back;
+
+	pf_codec().decode(data.data(), data.size(), 0, &sent);
+	pf_codec().set_mark(data.data(), 77);
+	data[28] |= 64;
+	ASSERT_EQ(pf_codec().decode(data.data(), data.size(), 1, &back), JJ_OK);
+	EXPECT_TRUE(back.returned);
+	EXPECT_EQ(pf_codec().mark(data.data()), 77u);
+	EXPECT_EQ(flw_key(&back), flw_key(&sent));
+	pf_codec().restore(data.data());
+	EXPECT_EQ(data, OPENING);
+}
+
+TEST(Packet, AnAnswerBelongsToTheSameFlow)
+{
+	flw_packet sent;
+	flw_packet answer;
+
+	pf_codec().decode(OPENING.data(), OPENING.size(), 0, &sent);
+	/* The reset has the addresses of an answer. */
+	ASSERT_EQ(pf_codec().decode(RESET.data(), RESET.size(), 1, &answer),
+		  JJ_OK);
+	EXPECT_EQ(flw_key(&answer), flw_key(&sent));
+}
+
+RC_GTEST_PROP(Packet, NoiseIsRefusedOrReadWithoutHarm,
+	      (std::vector<uint8_t> noise))
+{
+	flw_packet head;
+	jj_status status =
+		pf_codec().decode(noise.data(), noise.size(), 0, &head);
+
+	if (noise.size() < PF_HEAD_BYTES)
+		RC_ASSERT(status == JJ_MALFORMED);
+}
+
+TEST(Packet, ALengthThatDoesNotMatchIsRefused)
+{
+	std::vector<uint8_t> data = OPENING;
+	flw_packet head;
+
+	data.push_back(1);
+	EXPECT_EQ(pf_codec().decode(data.data(), data.size(), 0, &head),
+		  JJ_MALFORMED);
+	data[33] = 1;
+	EXPECT_EQ(pf_codec().decode(data.data(), data.size(), 0, &head), JJ_OK);
+	EXPECT_EQ(head.payload, 1);
+}
+
+/* -- the configuration --------------------------------------------------- */
+
+struct decoded {
+	std::vector<tbl_row> rows;
+	std::vector<std::string> log;
+	jj_status status;
+
+	decoded(const char *key, const std::string &value)
+	{
+		reg_item item = {};
+		tbl_row *list = nullptr;
+		uint32_t count = 0;
+		log_sink sink = { on_log, this };
+
+		snprintf(item.key, sizeof(item.key), "%s", key);
+		item.value = (uint8_t *)value.data();
+		item.len = value.size();
+		status = pf_rows(nullptr, &item, &list, &count, &sink);
+		rows.assign(list, list + count);
+		free(list);
+	}
+	static void on_log(void *ctx, log_event, log_level, const char *line)
+	{
+		((decoded *)ctx)->log.push_back(line);
+	}
+	const tbl_row *find(const std::string &name)
+	{
+		for (auto &row : rows)
+			if (name == row.name)
+				return &row;
+		return nullptr;
+	}
+};
+
+static const char CONFIG[] =
+	"{\"version\":7,\"routes\":["
+	"{\"name\":\"r-1\",\"host\":\"198.18.0.1\",\"prefix\":\"/8080/\","
+	"\"kind\":\"non_idempotent\",\"targetLatencyMs\":300,"
+	"\"service\":\"desk\"},"
+	"{\"name\":\"r-2\",\"host\":\"198.18.0.1\",\"prefix\":\"/8443/\","
+	"\"backends\":[{\"service\":\"desk\",\"weight\":90},"
+	"{\"service\":\"vault\",\"weight\":10}]}],"
+	"\"services\":[{\"name\":\"desk\",\"maxConns\":2000,"
+	"\"warmupPerS\":2.5},{\"name\":\"vault\"}],"
+	"\"limits\":{\"idleTimeoutMs\":15000}}";
+
+TEST(Config, BecomesRows)
+{
+	decoded got("op/config", CONFIG);
+
+	EXPECT_EQ(got.status, JJ_OK);
+	EXPECT_EQ(got.rows.size(), 5u);
+	EXPECT_TRUE(got.log.empty());
+	ASSERT_TRUE(got.find("r-1.desk"));
+	EXPECT_STREQ(got.find("r-1.desk")->address, "198.18.0.1:8080");
+	EXPECT_EQ(got.find("r-1.desk")->aim_ms, 300u);
+	ASSERT_TRUE(got.find("r-2.vault"));
+	EXPECT_EQ(got.find("r-2.vault")->weight, 10u);
+	EXPECT_EQ(got.find("r-2.desk")->weight, 90u);
+	EXPECT_EQ(got.find("desk")->cold_per_ks, 2500u);
+	EXPECT_EQ(got.find("desk")->max_flows, 2000u);
+	EXPECT_EQ(got.find("desk")->flow_idle_ms, 15000u);
+}
+
+struct config_case {
+	const char *name;
+	const char *value;
+	jj_status status;
+	size_t rows;
+	size_t refused;
+};
+
+static const config_case configs[] = {
+	{ "not JSON", "{", JJ_MALFORMED, 0, 1 },
+	{ "of another type", "[1]", JJ_MALFORMED, 0, 1 },
+	{ "without routes", "{\"services\":[]}", JJ_MALFORMED, 0, 1 },
+	{ "empty", "{\"services\":[],\"routes\":[]}", JJ_OK, 0, 0 },
+	{ "one bad route, one good",
+	  "{\"services\":[],\"routes\":[{\"name\":\"a\",\"host\":1,"
+	  "\"prefix\":\"/1/\",\"service\":\"s\"},{\"name\":\"b\","
+	  "\"host\":\"10.0.0.1\",\"prefix\":\"/2/\",\"service\":\"s\"}]}",
+	  JJ_OK, 1, 1 },
+	{ "port out of range",
+	  "{\"services\":[],\"routes\":[{\"name\":\"a\","
+	  "\"host\":\"10.0.0.1\",\"prefix\":\"/99999/\","
+	  "\"service\":\"s\"}]}",
+	  JJ_OK, 0, 1 },
+	{ "service of another type", "{\"services\":[3],\"routes\":[]}", JJ_OK,
+	  0, 1 },
+};
+
+TEST(Config, BadPartsAreRefusedOneByOne)
+{
+	for (auto &c : configs) {
+		SCOPED_TRACE(c.name);
+		decoded got("op/config", c.value);
+
+		EXPECT_EQ(got.status, c.status);
+		EXPECT_EQ(got.rows.size(), c.rows);
+		EXPECT_EQ(got.log.size(), c.refused);
+	}
+}
+
+TEST(Config, AnEvacuationDrainsItsDataCentre)
+{
+	decoded got("op/evacuate/lisboa-a", "{}");
+
+	ASSERT_EQ(got.rows.size(), 1u);
+	EXPECT_EQ(got.rows[0].kind, JJ__KIND__KIND_DATA_CENTRE);
+	EXPECT_STREQ(got.rows[0].name, "lisboa-a");
+	EXPECT_EQ(got.rows[0].state, JJ__ROW_STATE__STATE_DRAINING);
+	EXPECT_EQ(decoded("op/unheard-of", "{}").rows.size(), 0u);
+}
+
+/* -- what a target says -------------------------------------------------- */
+
+struct call_case {
+	const char *name;
+	evhttp_cmd_type method;
+	const char *path;
+	const char *body;
+	jj_status wanted;
+};
+
+#define GOOD                                                                   \
+	"\"service\":\"desk\",\"address\":\"10.0.0.9:80\",\"zone\":\"a\","     \
+	"\"version\":\"v1\",\"slots\":8,\"state\":\"ready\","                  \
+	"\"warmupLeftMs\":120,\"seq\":4"
+
+static const call_case calls[] = {
+	{ "a heartbeat", EVHTTP_REQ_PUT, "/instances/i-1", "{" GOOD "}",
+	  JJ_OK },
+	{ "with its start", EVHTTP_REQ_PUT, "/instances/i-1",
+	  "{" GOOD ",\"born\":1700000000000}", JJ_OK },
+	{ "its start as text", EVHTTP_REQ_PUT, "/instances/i-1",
+	  "{" GOOD ",\"born\":\"1700\"}", JJ_INVALID },
+	{ "unknown state", EVHTTP_REQ_PUT, "/instances/i-1",
+	  "{\"service\":\"desk\",\"slots\":8,\"state\":\"odd\",\"seq\":4}",
+	  JJ_INVALID },
+	{ "no service", EVHTTP_REQ_PUT, "/instances/i-1",
+	  "{\"slots\":8,\"state\":\"ready\",\"seq\":4}", JJ_INVALID },
+	{ "no slots", EVHTTP_REQ_PUT, "/instances/i-1",
+	  "{\"service\":\"desk\",\"slots\":0,\"state\":\"ready\",\"seq\":4}",
+	  JJ_INVALID },
+	{ "no JSON", EVHTTP_REQ_PUT, "/instances/i-1", "\xff{", JJ_INVALID },
+	{ "empty", EVHTTP_REQ_PUT, "/instances/i-1", "", JJ_INVALID },
+	{ "no id", EVHTTP_REQ_PUT, "/instances/", "{" GOOD "}", JJ_INVALID },
+	{ "leaving", EVHTTP_REQ_DELETE, "/instances/i-1", "", JJ_OK },
+	{ "readiness", EVHTTP_REQ_GET, "/ready", "", JJ_OK },
+	{ "unknown path", EVHTTP_REQ_GET, "/else", "", JJ_NOT_FOUND },
+	{ "unknown call", EVHTTP_REQ_PUT, "/else", "", JJ_NOT_FOUND },
+};
+
+TEST(Call, IsReadOrRefused)
+{
+	for (auto &c : calls) {
+		SCOPED_TRACE(c.name);
+		hts_request request = {};
+		pf_call call;
+
+		request.method = c.method;
+		request.path = c.path;
+		request.body = c.body;
+		request.len = strlen(c.body);
+		EXPECT_EQ(pf_parse_call(&request, &call, nullptr), c.wanted);
+		if (c.wanted == JJ_OK && c.method == EVHTTP_REQ_PUT) {
+			EXPECT_STREQ(call.report.id, "i-1");
+			EXPECT_EQ(call.report.slots, 8u);
+			EXPECT_EQ(call.report.cold_ms, 120u);
+			EXPECT_EQ(call.report.seq, 4u);
+		}
+	}
+}
+
+RC_GTEST_PROP(Call, NoiseIsRefusedWithoutHarm, (std::vector<char> noise))
+{
+	hts_request request = {};
+	pf_call call;
+
+	request.method = EVHTTP_REQ_PUT;
+	request.path = "/instances/i-1";
+	request.body = noise.data();
+	request.len = noise.size();
+	RC_ASSERT(pf_parse_call(&request, &call, nullptr) == JJ_INVALID);
+}
--- a/tests/relay_fake.h
+++ b/tests/relay_fake.h
@@ -365,7 +365,8 @@
 		uint64_t tick = now;
 
 		while (now < until) {
-			if (!events.empty() && events.begin()->first <= tick) {
+			if (!events.empty() &&
+			    events.begin()->first <= std::min(tick, until)) {
 				auto first = events.begin();
 				auto what = std::move(first->second);
 
--- a/tests/table_test.cc
+++ b/tests/table_test.cc
@@ -449,3 +449,89 @@
 	EXPECT_EQ(edt.action, EDT_DONE);
 	EXPECT_EQ(edt.outcome, EDT_CONFLICT);
 }
+
+/* -- rows by source ------------------------------------------------------ */
+
+struct sourced : testing::Test {
+	tbl table;
+	uint32_t changed = 0;
+	jj_error err;
+
+	void SetUp() override
+	{
+		ASSERT_TRUE(tbl_init(&table, 64));
+	}
+	void TearDown() override
+	{
+		tbl_finish(&table);
+	}
+	static tbl_row service(const char *name, uint32_t max_flows)
+	{
+		tbl_row row = {};
+
+		row.kind = JJ__KIND__KIND_SERVICE;
+		row.weight = 100;
+		row.max_flows = max_flows;
+		snprintf(row.name, sizeof(row.name), "%s", name);
+		return row;
+	}
+	jj_status replace(const char *source, std::vector<tbl_row> rows,
+			  uint64_t revision)
+	{
+		return tbl_replace(&table, source, rows.data(),
+				   (uint32_t)rows.size(), revision, &changed,
+				   &err);
+	}
+	const tbl_row *find(const char *name)
+	{
+		return tbl_find(&table, JJ__KIND__KIND_SERVICE, name);
+	}
+};
+
+TEST_F(sourced, ReplacingChangesWhatDiffersAndRemovesTheRest)
+{
+	ASSERT_EQ(replace("config", { service("a", 1), service("b", 1) }, 5),
+		  JJ_OK);
+	EXPECT_EQ(changed, 2u);
+	ASSERT_EQ(replace("config", { service("a", 1) }, 9), JJ_OK);
+	EXPECT_EQ(changed, 1u);
+	EXPECT_EQ(find("a")->revision, 5u);
+	EXPECT_EQ(find("b")->state, JJ__ROW_STATE__STATE_REMOVED);
+	EXPECT_EQ(find("b")->revision, 9u);
+}
+
+TEST_F(sourced, AnOlderAnswerOfTheStoreChangesNothing)
+{
+	ASSERT_EQ(replace("config", { service("a", 2), service("c", 2) }, 9),
+		  JJ_OK);
+	ASSERT_EQ(replace("config", { service("a", 1) }, 5), JJ_OK);
+	EXPECT_EQ(changed, 0u);
+	EXPECT_EQ(find("a")->max_flows, 2u);
+	EXPECT_EQ(find("c")->state, JJ__ROW_STATE__STATE_IN);
+	tbl_advance(&table, 9);
+	tbl_advance(&table, 5);
+	EXPECT_EQ(table.revision, 9u);
+}
+
+TEST_F(sourced, AListAfterAGapRemovesSourcesThatAreGone)
+{
+	const char *const left[] = { "config" };
+
+	ASSERT_EQ(replace("config", { service("a", 1) }, 5), JJ_OK);
+	ASSERT_EQ(replace("extra", { service("b", 1) }, 6), JJ_OK);
+	ASSERT_EQ(replace("newer", { service("c", 1) }, 20), JJ_OK);
+	EXPECT_EQ(tbl_keep_sources(&table, left, 1, 10), 1u);
+	EXPECT_EQ(find("a")->state, JJ__ROW_STATE__STATE_IN);
+	EXPECT_EQ(find("b")->state, JJ__ROW_STATE__STATE_REMOVED);
+	/* Heard of from a peer after the list was made. */
+	EXPECT_EQ(find("c")->state, JJ__ROW_STATE__STATE_IN);
+}
+
+TEST_F(sourced, ABadRowChangesNothing)
+{
+	tbl_row bad = service("b", 1);
+
+	bad.weight = TBL_WEIGHT_MAX + 1;
+	EXPECT_EQ(replace("config", { service("a", 1), bad }, 5), JJ_INVALID);
+	EXPECT_EQ(find("a"), nullptr);
+}
