--- a/include/jujube/flow.h
+++ b/include/jujube/flow.h
@@ -129,6 +129,7 @@
 	uint32_t max_flows; /* 0: 2000 */
 	uint32_t queue; /* work in hand beyond the slots, 0: none */
 	uint32_t flow_ttl_s; /* 0: 60 */
+	uint32_t heartbeat_ms; /* of the target, 0: 1000 */
 	struct flw_codec codec;
 	struct flw_hooks hooks;
 	struct met *met;
@@ -328,6 +329,6 @@
 void flw_stop(struct flw *flw);
 
 /* What the target can take, for the membership. */
-Jj__Phase flw_phase(struct flw *flw, uint64_t now, uint32_t heartbeat_ms);
+Jj__Phase flw_phase(struct flw *flw, uint64_t now);
 
 #endif
--- a/src/bin/jujube_relay_agentd.c
+++ b/src/bin/jujube_relay_agentd.c
@@ -56,11 +56,11 @@
 		.flow = { .max_flows = s->egress->max_flows,
 			  .queue = s->egress->queue,
 			  .flow_ttl_s = s->egress->flow_ttl_s,
+			  .heartbeat_ms = s->egress->heartbeat_ms,
 			  .codec = pf_codec() },
 		.threads = s->egress->threads,
 		.data_ip = net_parse_ip(s->identity->ip),
 		.data_port = (uint16_t)s->identity->data_port,
-		.heartbeat_ms = s->egress->heartbeat_ms,
 	};
 	struct jj_error err;
 	uint32_t ignored;
--- a/src/core/flow.c
+++ b/src/core/flow.c
@@ -13,6 +13,8 @@
 		desc->max_flows = 2000;
 	if (!desc->flow_ttl_s)
 		desc->flow_ttl_s = 60;
+	if (!desc->heartbeat_ms)
+		desc->heartbeat_ms = 1000;
 	if (!*desc->service)
 		return st_fail(err, JJ_INVALID, "agent without a service");
 	if (!desc->met)
--- a/src/core/flow_place.c
+++ b/src/core/flow_place.c
@@ -389,8 +389,13 @@
 
 void flw_place(const struct flw_work *work)
 {
-	if (!flw_try_place(work))
-		wait_or_refuse(work, "all targets are full");
+	const char *why;
+
+	if (flw_try_place(work))
+		return;
+	why = flw_cannot_open(work->call->flw, work->service, work->me,
+			      work->call->now);
+	wait_or_refuse(work, why ? why : "all targets are full");
 }
 
 void flw_place_again(const struct flw_call *call, struct flw_shard *shard,
--- a/src/core/flow_target.c
+++ b/src/core/flow_target.c
@@ -98,16 +98,23 @@
 	return status;
 }
 
-Jj__Phase flw_phase(struct flw *flw, uint64_t now, uint32_t heartbeat_ms)
+/* Target lock held. */
+static int is_gone(const struct flw *flw, uint64_t now)
+{
+	uint64_t patience = MISSED_BEATS * flw->desc.heartbeat_ms * 1000ull;
+
+	return flw->target.gone || now > flw->target.heard + patience;
+}
+
+Jj__Phase flw_phase(struct flw *flw, uint64_t now)
 {
 	const struct flw_target *target = &flw->target;
-	uint64_t patience = MISSED_BEATS * heartbeat_ms * 1000ull;
 	Jj__Phase phase = JJ__PHASE__PHASE_WARM;
 
 	pthread_mutex_lock(&flw->target_lock);
 	if (!*target->said.id)
 		phase = JJ__PHASE__PHASE_JOINING;
-	else if (target->gone || now > target->heard + patience)
+	else if (is_gone(flw, now))
 		phase = JJ__PHASE__PHASE_DOWN;
 	else if (target->said.leaving || flw->stopping)
 		phase = JJ__PHASE__PHASE_DRAINING;
@@ -155,8 +162,8 @@
 
 	if (!*target->said.id)
 		return "target not heard of";
-	if (target->gone)
-		return "target has left";
+	if (is_gone(flw, now))
+		return "target has left, or tells nothing";
 	if (target->said.leaving)
 		return "target is leaving";
 	if (target->unanswered >= FLW_SILENT_MAX &&
--- a/src/core/flow_wait.c
+++ b/src/core/flow_wait.c
@@ -147,7 +147,10 @@
 	pthread_mutex_lock(&work.shard->lock);
 	served = flw_try_place(&work);
 	if (!served && call->now >= waiting->until) {
-		flw_refuse(&work, "no room in time");
+		const char *why = flw_cannot_open(call->flw, work.service,
+						  work.me, call->now);
+
+		flw_refuse(&work, why ? why : "no room in time");
 		served = 1;
 	}
 	pthread_mutex_unlock(&work.shard->lock);
--- a/src/core/frame.c
+++ b/src/core/frame.c
@@ -62,8 +62,8 @@
 	while (capacity * FRM_SHARDS < lanes)
 		capacity *= 2;
 	/* One block: pages that no lane falls on are never touched. */
-	replay->lanes = calloc((size_t)capacity * FRM_SHARDS,
-			       sizeof(*replay->lanes));
+	replay->lanes =
+		calloc((size_t)capacity * FRM_SHARDS, sizeof(*replay->lanes));
 	if (!replay->lanes)
 		return 0;
 	for (i = 0; i < FRM_SHARDS; i++) {
--- a/src/io/egress.c
+++ b/src/io/egress.c
@@ -199,8 +199,7 @@
 	struct egr *egr = ctx;
 	struct flw_call call = call_of(egr, lane, view);
 
-	nod_set_phase(egr->nod,
-		      flw_phase(&egr->flw, call.now, egr->desc.heartbeat_ms));
+	nod_set_phase(egr->nod, flw_phase(&egr->flw, call.now));
 	if (egr->nod->joined)
 		flw_settle(&egr->flw);
 	flw_tick(&call);
--- a/src/io/egress.h
+++ b/src/io/egress.h
@@ -21,7 +21,6 @@
 	uint16_t data_port; /* for the fleet's packets */
 	uint32_t target_ip;
 	uint16_t target_port;
-	uint32_t heartbeat_ms;
 };
 
 struct egr_thread;
--- a/src/io/http.h
+++ b/src/io/http.h
@@ -27,7 +27,7 @@
 	struct evhttp_connection *conn; /* null: opened by the next call */
 	char host[16];
 	uint16_t port;
-	const JJ_ATOMIC(int) *stop;
+	const JJ_ATOMIC(int) * stop;
 	const char *wanted; /* name of an answer's header to keep, or null */
 	char header[64]; /* its value in the last answer, "": none */
 	/* of the call in progress */
@@ -39,7 +39,7 @@
 
 /* JJ_SYSTEM: no memory. */
 enum jj_status htc_init(struct htc *htc, uint32_t ip, uint16_t port,
-			const JJ_ATOMIC(int) *stop);
+			const JJ_ATOMIC(int) * stop);
 void htc_finish(struct htc *htc);
 
 /*
--- a/src/io/kv.h
+++ b/src/io/kv.h
@@ -27,7 +27,7 @@
  * *stop ends a call early.
  */
 enum jj_status kv_init(struct kv *kv, const char *url, uint32_t timeout_ms,
-		       struct met *met, const JJ_ATOMIC(int) *stop);
+		       struct met *met, const JJ_ATOMIC(int) * stop);
 void kv_finish(struct kv *kv);
 
 /*
--- a/src/io/registry.c
+++ b/src/io/registry.c
@@ -244,6 +244,7 @@
 	uint64_t wait = reg->renew_at > now ? reg->renew_at - now : 1;
 	struct reg_items items = { 0 };
 	enum reg_status status;
+	uint64_t before;
 	size_t i;
 
 	if (wait > reg->desc.watch_ms)
@@ -259,7 +260,10 @@
 		return status;
 	log_put(reg->desc.log, EV_HISTORY_LOST, "as_of=%llu",
 		(unsigned long long)reg->as_of);
-	return read_table(reg);
+	before = reg->as_of;
+	status = read_table(reg);
+	/* A store that has dropped even this: not again at once. */
+	return status == REG_OK && reg->as_of == before ? REG_REFUSED : status;
 }
 
 /* -- thread -------------------------------------------------------------- */
--- a/tests/flow_test.cc
+++ b/tests/flow_test.cc
@@ -6,7 +6,8 @@
 static const uint64_t SECOND = 1000000;
 
 /* The seeds of the cases below. */
-struct FlowSeeds : testing::TestWithParam<uint64_t> {};
+struct FlowSeeds : testing::TestWithParam<uint64_t> {
+};
 
 INSTANTIATE_TEST_SUITE_P(Seeds, FlowSeeds, testing::Range<uint64_t>(1, 9));
 
@@ -77,8 +78,8 @@
 	uint64_t key = fleet.caller(7);
 	const struct viw_service *service =
 		viw_service(fleet.view.get(), rnk_name_id("desk"));
-	relay_agent *home = fleet.agent_of(
-		viw_home(fleet.view.get(), service, key)->id);
+	relay_agent *home =
+		fleet.agent_of(viw_home(fleet.view.get(), service, key)->id);
 
 	home->alive = false; /* paused: takes nothing, loses nothing */
 	fleet.send(key, 0);
@@ -149,11 +150,10 @@
 	{ "its route has moved to another service",
 	  [](desk_fleet &fleet, relay_agent &holder) {
 		  (void)holder;
-		  fleet.rows("config",
-			     { fleet.service_row("desk"),
-			       fleet.service_row("vault"),
-			       fleet.route_row("r", "vault",
-					       "198.18.0.1:443") });
+		  fleet.rows("config", { fleet.service_row("desk"),
+					 fleet.service_row("vault"),
+					 fleet.route_row("r", "vault",
+							 "198.18.0.1:443") });
 		  fleet.agent("vault-0", "vault", "dc-a");
 	  } },
 };
@@ -277,8 +277,7 @@
 
 	service.cold_per_ks = 7000;
 	fleet.rows("config",
-		   { service,
-		     fleet.route_row("r", "desk", "198.18.0.1:443") });
+		   { service, fleet.route_row("r", "desk", "198.18.0.1:443") });
 	relay_agent &cold = *fleet.agents[0];
 	fleet.agents[1]->target->silent = true; /* all the load is on it */
 	cold.target->slots = 500;
@@ -485,12 +484,19 @@
 
 TEST(Reports, MissingOnesMeanThatTheTargetIsGone)
 {
-	relay_fleet fleet(1);
-	relay_agent &agent = fleet.agent("a", "desk", "dc-a");
-	uint64_t now = fleet.now;
+	desk_fleet fleet(16, 1);
+	relay_agent &agent = *fleet.agents[0];
 
-	EXPECT_EQ(flw_phase(agent.core.get(), now + 2 * SECOND, 1000),
+	agent.core->desc.heartbeat_ms = 1000;
+	fleet.report(agent);
+	EXPECT_EQ(flw_phase(agent.core.get(), fleet.now + 2 * SECOND),
 		  JJ__PHASE__PHASE_WARM);
-	EXPECT_EQ(flw_phase(agent.core.get(), now + 4 * SECOND, 1000),
+	EXPECT_EQ(flw_phase(agent.core.get(), fleet.now + 4 * SECOND),
 		  JJ__PHASE__PHASE_DOWN);
+	/* It is given nothing then, before anybody else has heard of it. */
+	fleet.run(4 * SECOND);
+	fleet.send(fleet.caller(1), 0);
+	fleet.run(50000);
+	EXPECT_TRUE(agent.target->opened_at.empty());
+	EXPECT_EQ(fleet.logged("tells nothing"), 1u);
 }
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -230,9 +230,9 @@
 	jj_status wanted;
 };
 
-#define GOOD                                                                   \
-	"\"service\":\"desk\",\"address\":\"10.0.0.9:80\",\"zone\":\"a\","     \
-	"\"version\":\"v1\",\"slots\":8,\"state\":\"ready\","                  \
+#define GOOD                                                               \
+	"\"service\":\"desk\",\"address\":\"10.0.0.9:80\",\"zone\":\"a\"," \
+	"\"version\":\"v1\",\"slots\":8,\"state\":\"ready\","              \
 	"\"warmupLeftMs\":120,\"seq\":4"
 
 static const call_case calls[] = {
--- a/tests/relay_fake.h
+++ b/tests/relay_fake.h
@@ -170,8 +170,8 @@
 		uint64_t revision = table.revision + 1;
 
 		EXPECT_EQ(tbl_replace(&table, source, list.data(),
-				      (uint32_t)list.size(), revision,
-				      &changed, &err),
+				      (uint32_t)list.size(), revision, &changed,
+				      &err),
 			  JJ_OK)
 			<< err.message;
 		tbl_advance(&table, revision);
@@ -271,12 +271,13 @@
 			 a.service.c_str());
 		desc.id = rnk_name_id(a.name.c_str());
 		desc.queue = 2;
+		desc.heartbeat_ms = 1000000; /* reports are by hand */
 		desc.met = a.counters.get();
 		desc.log = &sink;
 		desc.codec = { wire_decode, wire_reset, wire_mark,
 			       wire_set_mark, wire_restore };
-		desc.hooks = { on_to_target, on_to_caller, on_to_agent,
-			       on_to_process, on_control, &a };
+		desc.hooks = { on_to_target,  on_to_caller, on_to_agent,
+			       on_to_process, on_control,   &a };
 		EXPECT_EQ(flw_resolve(&desc, nullptr), JJ_OK);
 		EXPECT_EQ(flw_init(a.core.get(), &desc, now), JJ_OK);
 		flw_settle(a.core.get());
@@ -324,7 +325,7 @@
 	void update(relay_agent &a)
 	{
 		member(a.name, JJ__ROLE__ROLE_AGENT, a.service, a.data_centre,
-		       a.alive ? flw_phase(a.core.get(), now, 1000) :
+		       a.alive ? flw_phase(a.core.get(), now) :
 				 JJ__PHASE__PHASE_WARM,
 		       a.alive ? JJ__LIVENESS__LIVE_ALIVE :
 				 JJ__LIVENESS__LIVE_DEAD);
@@ -414,7 +415,8 @@
 				Jj__Packet *packet)
 	{
 		auto *a = (relay_agent *)ctx;
-		std::vector<uint8_t> packed(jj__packet__get_packed_size(packet));
+		std::vector<uint8_t> packed(
+			jj__packet__get_packed_size(packet));
 		uint64_t id = to->id;
 
 		jj__packet__pack(packet, packed.data());
--- /dev/null
+++ b/tests/standin/metastore.c
@@ -0,0 +1,383 @@
+/*
+ * Stand-in for the metadata store of the users' platform, by its published
+ * protocol: items with revisions, ranges, watches, transactions, leases.
+ * usage: standin-metastore IP PORT
+ *
+ * Faults, by GET: /fault?mode=up|down|compact|lose (lose: the next write is
+ * done and not answered; compact: the history so far is dropped).
+ * Operators write by GET /operator?key=K (body as value by POST), and
+ * DELETE /operator?key=K.
+ */
+#include <jansson.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <arpa/inet.h>
+#include <pthread.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#define ITEMS 1024
+#define LEASES 1024
+
+struct item {
+	char key[201];
+	char *value; /* base64; null: removed */
+	long long revision;
+	long long created;
+	long long lease;
+};
+
+struct lease {
+	long long id;
+	long long ttl_ms;
+	long long until_ms;
+};
+
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static pthread_cond_t changed = PTHREAD_COND_INITIALIZER;
+static struct item items[ITEMS];
+static int item_count;
+static struct lease leases[LEASES];
+static int lease_count;
+static long long revision = 10;
+static long long oldest; /* history before it is dropped */
+static long long next_lease = 77000;
+static int down;
+static int lose;
+
+static long long now_ms(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_MONOTONIC, &ts);
+	return ts.tv_sec * 1000LL + ts.tv_nsec / 1000000;
+}
+
+static struct item *find_item(const char *key)
+{
+	int i;
+
+	for (i = 0; i < item_count; i++)
+		if (!strcmp(items[i].key, key))
+			return &items[i];
+	return NULL;
+}
+
+static void set_item(const char *key, const char *value, long long lease)
+{
+	struct item *item = find_item(key);
+
+	if (!item && item_count < ITEMS) {
+		item = &items[item_count++];
+		snprintf(item->key, sizeof(item->key), "%s", key);
+	}
+	if (!item)
+		return;
+	if (!item->value)
+		item->created = revision;
+	free(item->value);
+	item->value = value ? strdup(value) : NULL;
+	item->revision = revision;
+	item->lease = lease;
+}
+
+static void expire_leases(void)
+{
+	int i;
+	int j;
+
+	for (i = 0; i < lease_count; i++) {
+		if (!leases[i].id || now_ms() < leases[i].until_ms)
+			continue;
+		for (j = 0; j < item_count; j++)
+			if (items[j].value && items[j].lease == leases[i].id) {
+				revision++;
+				set_item(items[j].key, NULL, 0);
+			}
+		leases[i].id = 0;
+		pthread_cond_broadcast(&changed);
+	}
+}
+
+static json_t *show(const struct item *item)
+{
+	if (!item->value)
+		return json_pack("{s:s,s:I,s:b}", "key", item->key, "revision",
+				 (json_int_t)item->revision, "tombstone", 1);
+	return json_pack("{s:s,s:s,s:I,s:I,s:I}", "key", item->key, "value",
+			 item->value, "revision", (json_int_t)item->revision,
+			 "createdRev", (json_int_t)item->created, "lease",
+			 (json_int_t)item->lease);
+}
+
+static json_t *matching(const char *prefix, long long after, int removed)
+{
+	json_t *list = json_array();
+	int i;
+
+	for (i = 0; i < item_count; i++)
+		if (!strncmp(items[i].key, prefix, strlen(prefix)) &&
+		    items[i].revision > after && (items[i].value || removed))
+			json_array_append_new(list, show(&items[i]));
+	return list;
+}
+
+static enum MHD_Result reply(struct MHD_Connection *conn, unsigned code,
+			     json_t *body)
+{
+	char *text = body ? json_dumps(body, JSON_COMPACT) : strdup("{}");
+	struct MHD_Response *response = MHD_create_response_from_buffer(
+		strlen(text), text, MHD_RESPMEM_MUST_FREE);
+	enum MHD_Result result;
+
+	json_decref(body);
+	MHD_add_response_header(response, "Content-Type", "application/json");
+	result = MHD_queue_response(conn, code, response);
+	MHD_destroy_response(response);
+	return result;
+}
+
+static const char *query(struct MHD_Connection *conn, const char *name)
+{
+	const char *value = MHD_lookup_connection_value(
+		conn, MHD_GET_ARGUMENT_KIND, name);
+
+	return value ? value : "";
+}
+
+/* -- calls (locked) ------------------------------------------------------ */
+
+static enum MHD_Result get_range(struct MHD_Connection *conn)
+{
+	json_t *list = matching(query(conn, "prefix"), 0, 0);
+
+	return reply(conn, 200,
+		     json_pack("{s:o,s:b,s:I}", "items", list, "truncated", 0,
+			       "asOf", (json_int_t)revision));
+}
+
+static enum MHD_Result get_watch(struct MHD_Connection *conn)
+{
+	const char *prefix = query(conn, "prefix");
+	long long after = atoll(query(conn, "after"));
+	long long until = now_ms() + atoll(query(conn, "waitMs"));
+	json_t *list = NULL;
+
+	if (after < oldest)
+		return reply(conn, 410, NULL);
+	for (;;) {
+		struct timespec ts;
+
+		expire_leases();
+		json_decref(list);
+		list = matching(prefix, after, 1);
+		if (json_array_size(list) || now_ms() >= until || down)
+			break;
+		clock_gettime(CLOCK_REALTIME, &ts);
+		ts.tv_nsec += 50 * 1000000;
+		if (ts.tv_nsec >= 1000000000) {
+			ts.tv_sec++;
+			ts.tv_nsec -= 1000000000;
+		}
+		pthread_cond_timedwait(&changed, &lock, &ts);
+	}
+	if (down) {
+		json_decref(list);
+		return MHD_NO;
+	}
+	return reply(conn, 200, json_pack("{s:o,s:I}", "events", list, "asOf",
+					  (json_int_t)revision));
+}
+
+static struct lease *find_lease(long long id)
+{
+	int i;
+
+	for (i = 0; i < lease_count; i++)
+		if (id && leases[i].id == id)
+			return &leases[i];
+	return NULL;
+}
+
+static enum MHD_Result post_txn(struct MHD_Connection *conn, const char *body)
+{
+	json_t *root = json_loads(body, 0, NULL);
+	json_t *put;
+	size_t i;
+
+	json_array_foreach(json_object_get(root, "puts"), i, put)
+	{
+		long long id = json_integer_value(json_object_get(put, "lease"));
+
+		if (id && !find_lease(id)) {
+			json_decref(root);
+			return reply(conn, 404, NULL);
+		}
+	}
+	revision++;
+	json_array_foreach(json_object_get(root, "puts"), i, put)
+		set_item(json_string_value(json_object_get(put, "key")),
+			 json_string_value(json_object_get(put, "value")),
+			 json_integer_value(json_object_get(put, "lease")));
+	json_decref(root);
+	pthread_cond_broadcast(&changed);
+	if (lose) {
+		lose = 0;
+		return MHD_NO;
+	}
+	return reply(conn, 200,
+		     json_pack("{s:I}", "revision", (json_int_t)revision));
+}
+
+static enum MHD_Result post_lease(struct MHD_Connection *conn,
+				  const char *body)
+{
+	json_t *root = json_loads(body, 0, NULL);
+	long long ttl = json_integer_value(json_object_get(root, "ttlMs"));
+	struct lease *lease = &leases[lease_count++ % LEASES];
+
+	json_decref(root);
+	if (lease_count > LEASES)
+		lease_count = LEASES;
+	*lease = (struct lease){ ++next_lease, ttl, now_ms() + ttl };
+	return reply(conn, 200,
+		     json_pack("{s:I,s:I}", "lease", (json_int_t)lease->id,
+			       "ttlMs", (json_int_t)ttl));
+}
+
+static enum MHD_Result keep_lease(struct MHD_Connection *conn, long long id,
+				  int end)
+{
+	struct lease *lease = find_lease(id);
+
+	if (!lease)
+		return reply(conn, 404, NULL);
+	lease->until_ms = end ? 0 : now_ms() + lease->ttl_ms;
+	expire_leases();
+	return reply(conn, 200,
+		     json_pack("{s:I}", "ttlMs", (json_int_t)lease->ttl_ms));
+}
+
+static enum MHD_Result operate(struct MHD_Connection *conn, const char *method,
+			       const char *body)
+{
+	char text[65536];
+
+	revision++;
+	sodium_bin2base64(text, sizeof(text), (const unsigned char *)body,
+			  strlen(body), sodium_base64_VARIANT_ORIGINAL);
+	set_item(query(conn, "key"), strcmp(method, "DELETE") ? text : NULL, 0);
+	pthread_cond_broadcast(&changed);
+	return reply(conn, 200, NULL);
+}
+
+static enum MHD_Result set_fault(struct MHD_Connection *conn)
+{
+	const char *mode = query(conn, "mode");
+
+	if (!strcmp(mode, "compact"))
+		oldest = revision;
+	else if (!strcmp(mode, "lose"))
+		lose = 1;
+	else
+		down = !strcmp(mode, "down");
+	pthread_cond_broadcast(&changed);
+	return reply(conn, 200, NULL);
+}
+
+static enum MHD_Result dispatch(struct MHD_Connection *conn, const char *url,
+				const char *method, const char *body)
+{
+	if (!strcmp(url, "/fault"))
+		return set_fault(conn);
+	if (!strcmp(url, "/operator"))
+		return operate(conn, method, body);
+	if (down)
+		return MHD_NO;
+	expire_leases();
+	if (!strcmp(url, "/kv-range"))
+		return get_range(conn);
+	if (!strcmp(url, "/kv-watch"))
+		return get_watch(conn);
+	if (!strcmp(url, "/kv-txn"))
+		return post_txn(conn, body);
+	if (!strcmp(url, "/kv-lease"))
+		return post_lease(conn, body);
+	if (!strncmp(url, "/kv-keep/", 9))
+		return keep_lease(conn, atoll(url + 9), 0);
+	if (!strncmp(url, "/kv-lease-end/", 14))
+		return keep_lease(conn, atoll(url + 14), 1);
+	return reply(conn, 404, NULL);
+}
+
+struct request {
+	char *body;
+	size_t len;
+};
+
+static enum MHD_Result on_request(void *ctx, struct MHD_Connection *conn,
+				  const char *url, const char *method,
+				  const char *version, const char *data,
+				  size_t *len, void **state)
+{
+	struct request *request = *state;
+	enum MHD_Result result;
+
+	(void)ctx;
+	(void)version;
+	if (!request) {
+		*state = calloc(1, sizeof(*request));
+		((struct request *)*state)->body = calloc(1, 1);
+		return MHD_YES;
+	}
+	if (*len) {
+		request->body = realloc(request->body, request->len + *len + 1);
+		memcpy(request->body + request->len, data, *len);
+		request->len += *len;
+		request->body[request->len] = '\0';
+		*len = 0;
+		return MHD_YES;
+	}
+	pthread_mutex_lock(&lock);
+	result = dispatch(conn, url, method, request->body);
+	pthread_mutex_unlock(&lock);
+	return result;
+}
+
+static void on_completed(void *ctx, struct MHD_Connection *conn, void **state,
+			 enum MHD_RequestTerminationCode code)
+{
+	struct request *request = *state;
+
+	(void)ctx;
+	(void)conn;
+	(void)code;
+	if (request)
+		free(request->body);
+	free(request);
+	*state = NULL;
+}
+
+int main(int argc, char **argv)
+{
+	struct sockaddr_in addr = { .sin_family = AF_INET };
+	struct MHD_Daemon *daemon;
+
+	if (argc != 3 || sodium_init() < 0 ||
+	    inet_pton(AF_INET, argv[1], &addr.sin_addr) != 1)
+		return 2;
+	addr.sin_port = htons((uint16_t)atoi(argv[2]));
+	daemon = MHD_start_daemon(
+		MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD,
+		0, NULL, NULL, on_request, NULL, MHD_OPTION_SOCK_ADDR,
+		(struct sockaddr *)&addr, MHD_OPTION_NOTIFY_COMPLETED,
+		on_completed, NULL, MHD_OPTION_END);
+	if (!daemon)
+		return 1;
+	for (;;)
+		pause();
+}
