Resets only on proof: four ways in which an open flow looked ended

Traced by the agents' logs (JJ523 with reset=1, JJ101, JJ200): - a packet that was tried at the target and got no answer counted as "not held"; now only one that came back does; - an agent in a planned restart took its entry back, so that an agent which started meanwhile did not know that somebody was absent; now the entry lapses with its lease when the target lives on; - a late answer to an opening that had gone elsewhere was passed on without a table entry; now it is adopted; - a late copy of an opening released the open flow; now the sequence number of the opening tells a copy from a new flow. Tests failed before: FlowSeeds.AreNotTakenForEndedAfterAnUnansweredTrial, FlowSeeds.OpenByAnAnswerThatCameLate; relay_restart_agent is new.

--- a/include/jujube/flow.h
+++ b/include/jujube/flow.h
@@ -23,8 +23,8 @@
  * Any other packet goes to the target when it acknowledges what the target
  * has sent; else to the holder that the home knows; else it visits the agents
  * of the service in a circle, until one holds it. An agent that was started
- * lately does not know what its target holds: it tries the target once, and
- * passes on what comes back. A packet that has visited every agent of the
+ * lately does not know what its target holds: it tries the target, and passes
+ * on what comes back. A packet that has visited every agent of the
  * service that may still hold flows belongs to a flow that has ended, and its
  * caller is reset, so that it need not wait for its deadline. Resets are sent
  * only then, for openings, for flows that the target has forgotten, and for
@@ -163,6 +163,7 @@
 	uint8_t tried_count;
 	uint32_t first; /* the target's first sequence number */
 	uint32_t caller_ack; /* last */
+	uint32_t caller_first; /* sequence number of its opening */
 	uint32_t caller_next; /* sequence number after the caller's data */
 	uint32_t next_free;
 	uint64_t told_via; /* balancer that was told last */
@@ -174,10 +175,11 @@
 /* Where the home sent a flow, or was told that it is. */
 struct flw_exception {
 	uint64_t key; /* 0: free */
-	uint64_t holder; /* 0: not at this agent's target */
+	uint64_t holder; /* 0: not known */
 	uint64_t at;
 	uint32_t first;
-	uint32_t first_known;
+	uint8_t first_known;
+	uint8_t not_here; /* this agent's target returned a packet of it */
 };
 
 struct flw_shard {
--- a/src/bin/jujube_relay_agentd.c
+++ b/src/bin/jujube_relay_agentd.c
@@ -119,7 +119,9 @@
 	egr_stop(&agent.egr);
 	dmn_drain(agent.drain_ms, egr_idle, &agent.egr);
 	nod_leave(&agent.nod);
-	rld_finish(&agent.rld);
+	/* A target that lives on keeps its flows for the agent's next life. */
+	rld_finish(&agent.rld, flw_phase(&agent.egr.flw, net_now_us()) ==
+				       JJ__PHASE__PHASE_DOWN);
 	nod_stop(&agent.nod);
 	egr_finish(&agent.egr);
 	nod_finish(&agent.nod);
--- a/src/bin/jujube_relayd.c
+++ b/src/bin/jujube_relayd.c
@@ -87,7 +87,7 @@
 	dmn_drain(relay.drain_ms, ing_idle, &relay.ing);
 	nod_leave(&relay.nod);
 	ing_finish(&relay.ing);
-	rld_finish(&relay.rld);
+	rld_finish(&relay.rld, 1);
 	nod_stop(&relay.nod);
 	nod_finish(&relay.nod);
 	log_put(&relay.log.sink, EV_STOPPED, "name=%s",
--- a/src/bin/relayd.c
+++ b/src/bin/relayd.c
@@ -102,9 +102,9 @@
 	dmn_must(reg_start(&rld->reg, rld->nod, &err), &err);
 }
 
-void rld_finish(struct rld *rld)
+void rld_finish(struct rld *rld, int leave)
 {
-	reg_finish(&rld->reg);
+	reg_finish(&rld->reg, leave);
 	hts_finish(&rld->hts);
 	pf_store_finish(&rld->store);
 }
--- a/src/bin/relayd.h
+++ b/src/bin/relayd.h
@@ -36,6 +36,7 @@
 		const char *heartbeats);
 /* After nod_start(). */
 void rld_start(struct rld *rld);
-void rld_finish(struct rld *rld);
+/* leave: see reg_finish(). */
+void rld_finish(struct rld *rld, int leave);
 
 #endif
--- a/src/core/flow.c
+++ b/src/core/flow.c
@@ -253,7 +253,8 @@
 
 /*
  * The target of an agent that was started lately may hold flows that the
- * agent does not know. Each is tried there once; it comes back when not held.
+ * agent does not know. Their packets are tried there until one comes back;
+ * that none did proves nothing, as not every packet is answered.
  */
 static int try_target(const struct flw_work *work, const struct visits *visits)
 {
@@ -261,14 +262,11 @@
 	struct flw *flw = call->flw;
 	struct flw_exception *known =
 		flw_exception(work->shard, work->packet->flow);
-	struct flw_exception none = { .key = work->packet->flow,
-				      .at = call->now };
 	uint8_t buf[FRM_MAX_DATAGRAM];
 
 	if (call->now > flw->started + flw->desc.flow_ttl_s * 1000000ull ||
-	    known || work->packet->data.len > sizeof(buf))
+	    (known && known->not_here) || work->packet->data.len > sizeof(buf))
 		return 0;
-	flw_put_exception(work->shard, &none);
 	memcpy(buf, work->packet->data.data, work->packet->data.len);
 	flw->desc.codec.set_mark(buf,
 				 save_trial(flw, work->packet->flow, visits));
@@ -414,8 +412,7 @@
 	struct flw *flw = work->call->flw;
 
 	if (flow->state == FLW_CLOSED ||
-	    (flow->state == FLW_OPEN && !work->head.repeat &&
-	     work->head.seq + 1 != flow->caller_next)) {
+	    (flow->state == FLW_OPEN && work->head.seq != flow->caller_first)) {
 		flw_release(flw, work->shard, flow);
 		return 0;
 	}
@@ -512,7 +509,10 @@
 
 /* -- packets of the target ----------------------------------------------- */
 
-/* The target sends on a flow that a former life of this agent opened. */
+/*
+ * The target sends on a flow that is not in the table: a former life of this
+ * agent opened it, or the answer to its opening came late.
+ */
 static struct flw_flow *adopt(const struct flw_call *call,
 			      struct flw_shard *shard, uint64_t key,
 			      const struct flw_packet *head)
@@ -521,7 +521,10 @@
 
 	if (!flow)
 		return NULL;
-	flow->state = FLW_OPEN;
+	flow->state = head->opens ? FLW_ANSWERED : FLW_OPEN;
+	flow->first = head->seq;
+	flow->first_known = head->opens;
+	flow->caller_first = head->ack - 1; /* of an opening's answer */
 	flow->caller_ip = head->caller_ip;
 	flow->caller_port = head->caller_port;
 	flow->service_ip = head->service_ip;
@@ -561,6 +564,17 @@
 	flw_release(call->flw, shard, flow);
 }
 
+static void note_not_here(struct flw_shard *shard, uint64_t key, uint64_t now)
+{
+	const struct flw_exception *held = flw_exception(shard, key);
+	struct flw_exception e = { .key = key, .at = now };
+
+	if (held)
+		e = *held;
+	e.not_here = 1;
+	flw_put_exception(shard, &e);
+}
+
 /* A trial of an agent that was started lately: the search goes on. */
 static void on_not_held(const struct flw_call *call, struct flw_shard *shard,
 			uint64_t key, const struct flw_packet *head,
@@ -580,6 +594,7 @@
 
 	if (!work.service || !work.me || !load_trial(flw, key, mark, &visits))
 		return;
+	note_not_here(shard, key, call->now);
 	flw->desc.codec.restore(data);
 	packet.service = flw->service;
 	packet.caller_ip = head->caller_ip;
@@ -629,7 +644,7 @@
 		return;
 	}
 	flow = flw_find(shard, key);
-	if (!flow && !head.opens && !head.resets)
+	if (!flow && !head.resets)
 		flow = adopt(call, shard, key, &head);
 	if (flow)
 		note_sent(call, flow, &head);
--- a/src/core/flow_place.c
+++ b/src/core/flow_place.c
@@ -314,6 +314,7 @@
 	flow->caller_port = work->head.caller_port;
 	flow->service_ip = work->head.service_ip;
 	flow->service_port = work->head.service_port;
+	flow->caller_first = work->head.seq;
 	flow->caller_next = work->head.seq + 1;
 	if (packet->data.len <= FLW_OPENING_MAX) {
 		memcpy(flow->opening, packet->data.data, packet->data.len);
--- a/src/io/registry.c
+++ b/src/io/registry.c
@@ -309,13 +309,13 @@
 	return JJ_OK;
 }
 
-void reg_finish(struct reg *reg)
+void reg_finish(struct reg *reg, int leave)
 {
 	const struct reg_store *store = &reg->desc.store;
 
 	reg->stopping = 1;
 	pthread_join(reg->thread, NULL);
 	reg->stopping = 0;
-	if (reg->lease)
+	if (reg->lease && leave)
 		store->end(store->ctx, reg->lease);
 }
--- a/src/io/registry.h
+++ b/src/io/registry.h
@@ -103,7 +103,10 @@
 
 enum jj_status reg_start(struct reg *reg, struct nod *nod,
 			 struct jj_error *err);
-/* Ends the thread and takes the entry back. */
-void reg_finish(struct reg *reg);
+/*
+ * Ends the thread. leave: takes the entry back; else it lapses with its lease,
+ * and processes that start meanwhile know that somebody is absent.
+ */
+void reg_finish(struct reg *reg, int leave);
 
 #endif
--- a/tests/flow_test.cc
+++ b/tests/flow_test.cc
@@ -71,6 +71,84 @@
 	}
 }
 
+/* The target does not answer a bare acknowledgement: that proves nothing. */
+TEST_P(FlowSeeds, AreNotTakenForEndedAfterAnUnansweredTrial)
+{
+	desk_fleet fleet(GetParam());
+	auto keys = fleet.open(30);
+	relay_agent &agent = *fleet.agents[2];
+
+	fleet.kill(agent);
+	fleet.restart(agent);
+	fleet.balancer("balancer-3");
+	for (auto key : keys) {
+		fleet.send(key, 2);
+		fleet.run(30000);
+		fleet.request(key, 2);
+		fleet.run(60000);
+		EXPECT_EQ(fleet.callers[key].answers, 2);
+		EXPECT_FALSE(fleet.callers[key].reset);
+	}
+}
+
+/* As when the home places an opening again whose answer it did not hear of. */
+TEST_P(FlowSeeds, OutliveALateCopyOfTheirOpening)
+{
+	desk_fleet fleet(GetParam());
+	uint64_t key = fleet.caller(3);
+	flw_packet opening = fleet.callers[key].head;
+
+	fleet.send(key, 0);
+	fleet.run(6000);
+	fleet.request(key, 0);
+	fleet.run(30000);
+	std::string before = fleet.holder(key)->name;
+	flw_packet next = fleet.callers[key].head;
+	fleet.callers[key].head = opening;
+	fleet.send(key, 1);
+	fleet.run(30000);
+	fleet.callers[key].head = next;
+	fleet.request(key, 0);
+	fleet.run(60000);
+	EXPECT_EQ(fleet.callers[key].answers, 2);
+	EXPECT_EQ(fleet.holder(key)->name, before);
+	EXPECT_EQ(fleet.strays(key), 0);
+	/* A new flow on the same ports is another one. */
+	fleet.callers[key] = fake_caller{ opening };
+	fleet.callers[key].head.seq += 5000;
+	for (auto &agent : fleet.agents)
+		agent->target->flows.erase(key);
+	fleet.send(key, 1);
+	fleet.run(30000);
+	fleet.request(key, 1);
+	fleet.run(60000);
+	EXPECT_EQ(fleet.callers[key].answers, 1);
+}
+
+/*
+ * Its opening went on to another agent when the target had not answered; the
+ * caller takes the late answer all the same.
+ */
+TEST_P(FlowSeeds, OpenByAnAnswerThatCameLate)
+{
+	desk_fleet fleet(GetParam(), 2);
+
+	fleet.run(61 * SECOND); /* both know all that their targets hold */
+	fleet.agents[0]->target->answer_us = FLW_ANSWER_US + 30000;
+	fleet.agents[1]->target->answer_us = FLW_ANSWER_US + 30000;
+	for (uint32_t i = 0; i < 8; i++) {
+		uint64_t key = fleet.caller(i);
+
+		fleet.send(key, i);
+		fleet.run(150000);
+		ASSERT_TRUE(fleet.callers[key].open);
+		fleet.request(key, i + 1);
+		fleet.run(100000);
+		EXPECT_EQ(fleet.callers[key].answers, 1);
+		EXPECT_FALSE(fleet.callers[key].reset);
+	}
+}
+
 /* Copies of an opening given to two targets: both answer, one is taken. */
 TEST_P(FlowSeeds, OpenAtTheTargetThatTheCallerAcknowledges)
 {
--- a/tests/relay.sh
+++ b/tests/relay.sh
@@ -157,6 +157,16 @@
 	start_agent 2 desk
 	result 25
 	;;
+restart_agent) # planned; its target keeps the flows for its next life
+	world 6 100
+	sleep 1.5
+	kill -TERM "${pids[agent-2]}"
+	wait "${pids[agent-2]}"
+	curl -s --noproxy '*' "http://$store/kv-range?prefix=jujube/members/" |
+		grep -q 'members/agent-2"' || fail "its entry is gone"
+	start_agent 2 desk
+	result 5
+	;;
 restart_balancer) # planned: nobody may notice
 	world 6 100
 	sleep 1.5
--- a/tests/relay_fake.h
+++ b/tests/relay_fake.h
@@ -87,6 +87,7 @@
 	bool silent = false;
 	bool returns_openings = false;
 	uint64_t work_us = 10000;
+	uint64_t answer_us = 0; /* to an opening */
 	uint32_t slots = 4;
 	uint32_t running = 0;
 	std::vector<wire> queue;
@@ -518,7 +519,7 @@
 				t.flows[key] = { (uint32_t)rng(), false };
 			w.head.acknowledges = 1;
 			w.head.seq = t.flows[key].first;
-			from_target(a, w);
+			at(t.answer_us, [this, &a, w] { from_target(a, w); });
 			return;
 		}
 		if (held == t.flows.end() ||
--- a/tests/standin/metastore.c
+++ b/tests/standin/metastore.c
@@ -143,8 +143,8 @@
 
 static const char *query(struct MHD_Connection *conn, const char *name)
 {
-	const char *value = MHD_lookup_connection_value(
-		conn, MHD_GET_ARGUMENT_KIND, name);
+	const char *value =
+		MHD_lookup_connection_value(conn, MHD_GET_ARGUMENT_KIND, name);
 
 	return value ? value : "";
 }
@@ -189,8 +189,9 @@
 		json_decref(list);
 		return MHD_NO;
 	}
-	return reply(conn, 200, json_pack("{s:o,s:I}", "events", list, "asOf",
-					  (json_int_t)revision));
+	return reply(conn, 200,
+		     json_pack("{s:o,s:I}", "events", list, "asOf",
+			       (json_int_t)revision));
 }
 
 static struct lease *find_lease(long long id)
@@ -211,7 +212,8 @@
 
 	json_array_foreach(json_object_get(root, "puts"), i, put)
 	{
-		long long id = json_integer_value(json_object_get(put, "lease"));
+		long long id =
+			json_integer_value(json_object_get(put, "lease"));
 
 		if (id && !find_lease(id)) {
 			json_decref(root);
@@ -233,8 +235,7 @@
 		     json_pack("{s:I}", "revision", (json_int_t)revision));
 }
 
-static enum MHD_Result post_lease(struct MHD_Connection *conn,
-				  const char *body)
+static enum MHD_Result post_lease(struct MHD_Connection *conn, const char *body)
 {
 	json_t *root = json_loads(body, 0, NULL);
 	long long ttl = json_integer_value(json_object_get(root, "ttlMs"));
--- a/tests/standin/world.c
+++ b/tests/standin/world.c
@@ -247,14 +247,14 @@
 {
 	char body[256];
 	char text[512];
-	int len = snprintf(body, sizeof(body),
-			   "{\"service\":\"%s\",\"address\":\"127.%d.2.%d:"
-			   "8165\",\"zone\":\"zone-%d\",\"version\":\"v1\","
-			   "\"slots\":8,\"state\":\"%s\",\"warmupLeftMs\":0,"
-			   "\"seq\":%lld,\"born\":%lld}",
-			   service, net, s->number, s->number % 2,
-			   s->draining ? "draining" : "ready", ++s->seq,
-			   born_ms);
+	int len =
+		snprintf(body, sizeof(body),
+			 "{\"service\":\"%s\",\"address\":\"127.%d.2.%d:"
+			 "8165\",\"zone\":\"zone-%d\",\"version\":\"v1\","
+			 "\"slots\":8,\"state\":\"%s\",\"warmupLeftMs\":0,"
+			 "\"seq\":%lld,\"born\":%lld}",
+			 service, net, s->number, s->number % 2,
+			 s->draining ? "draining" : "ready", ++s->seq, born_ms);
 
 	snprintf(text, sizeof(text),
 		 "PUT /instances/i-%d HTTP/1.1\r\nHost: x\r\nContent-Length: "
@@ -409,7 +409,8 @@
 
 		if (sscanf(argv[i], "%d:%d:%63s", &first, &count, name) != 3)
 			return 2;
-		services[(i - 5) & 1] = argv[i] + strlen(argv[i]) - strlen(name);
+		services[(i - 5) & 1] =
+			argv[i] + strlen(argv[i]) - strlen(name);
 		while (count--) {
 			struct server *s = &servers[server_count++];
 
