A returned packet of another copy's flow goes on searching; logs in fields

Cause: two targets had copies of the opening; the agent of the one that the caller did not acknowledge tried the packets at its target, which returned them, and then dropped them as it knew the flow. Now such a packet is not tried there, and what comes back goes on.

The relaying programs log fields on standard output, never waiting, and show histograms of opening and answer times beside the counters.

--- a/include/jujube/metric.h
+++ b/include/jujube/metric.h
@@ -2,7 +2,8 @@
  * metric - counters
  *
  * One struct met a thread or role, added to without locks and summed when
- * somebody asks. Counters only rise, until the process ends.
+ * somebody asks. Counters only rise, until the process ends. Times are counted
+ * in buckets whose bounds double from MET_FIRST_US on.
  */
 #ifndef JUJUBE_METRIC_H
 #define JUJUBE_METRIC_H
@@ -57,8 +58,27 @@
 		MET_COUNT,
 };
 
+#define MET_TIMES(X)                                    \
+	X(OPENING, "opening_us",                        \
+	  "from an opening given to the target to its " \
+	  "answer")                                     \
+	X(ANSWER, "answer_us",                          \
+	  "from a request given to the target to its "  \
+	  "first byte")
+
+enum met_time {
+#define X(id, name, text) MET_TIME_##id,
+	MET_TIMES(X)
+#undef X
+		MET_TIME_COUNT,
+};
+
+#define MET_FIRST_US 500
+#define MET_BUCKETS 14 /* up to 4 s; the last takes all above */
+
 struct met {
 	JJ_ATOMIC(uint64_t) v[MET_COUNT];
+	JJ_ATOMIC(uint64_t) times[MET_TIME_COUNT][MET_BUCKETS];
 };
 
 static inline void met_add(struct met *met, enum met_counter counter,
@@ -72,6 +92,22 @@
 	return atomic_load_explicit(&met->v[counter], JJ_RELAXED);
 }
 
+static inline void met_time(struct met *met, enum met_time time, uint64_t us)
+{
+	uint64_t bound = MET_FIRST_US;
+	int bucket = 0;
+
+	while (us > bound && bucket + 1 < MET_BUCKETS) {
+		bound *= 2;
+		bucket++;
+	}
+	atomic_fetch_add_explicit(&met->times[time][bucket], (uint64_t)1,
+				  JJ_RELAXED);
+}
+
+/* Name of a time, and of a counter, as metrics show them. */
+const char *met_time_name(enum met_time time);
+
 /* Name of a counter as dumps show it. */
 const char *met_name(enum met_counter counter);
 
--- a/src/bin/jujube_agentd.c
+++ b/src/bin/jujube_agentd.c
@@ -89,7 +89,7 @@
 	const Jj__AgentSettings *settings = (const void *)msg;
 	struct dmn_hooks hooks = { on_reload, &agent };
 
-	lio_init(&agent.log, "jujube-agentd", settings->log->level);
+	lio_init(&agent.log, "jujube-agentd", settings->log->level, LIO_SYSLOG);
 	agent.drain_s = settings->target->drain_s;
 	dmn_block_signals();
 	start(&agent, settings);
--- a/src/bin/jujube_relay_agentd.c
+++ b/src/bin/jujube_relay_agentd.c
@@ -109,7 +109,8 @@
 	const Jj__RelayAgentSettings *settings = (const void *)msg;
 	struct dmn_hooks hooks = { on_reload, &agent };
 
-	lio_init(&agent.log, "jujube-relay-agentd", settings->log->level);
+	lio_init(&agent.log, "jujube-relay-agentd", settings->log->level,
+		 LIO_FIELDS);
 	agent.drain_ms = settings->egress->drain_ms;
 	dmn_block_signals();
 	start(&agent, settings);
--- a/src/bin/jujube_relayd.c
+++ b/src/bin/jujube_relayd.c
@@ -75,7 +75,7 @@
 	const Jj__RelaySettings *settings = (const void *)msg;
 	struct dmn_hooks hooks = { on_reload, &relay };
 
-	lio_init(&relay.log, "jujube-relayd", settings->log->level);
+	lio_init(&relay.log, "jujube-relayd", settings->log->level, LIO_FIELDS);
 	relay.drain_ms = settings->ingress->drain_ms;
 	dmn_block_signals();
 	start(&relay, settings);
--- a/src/bin/jujubed.c
+++ b/src/bin/jujubed.c
@@ -85,7 +85,7 @@
 	const Jj__BalancerSettings *settings = (const void *)msg;
 	struct dmn_hooks hooks = { on_reload, &balancer };
 
-	lio_init(&balancer.log, "jujubed", settings->log->level);
+	lio_init(&balancer.log, "jujubed", settings->log->level, LIO_SYSLOG);
 	balancer.drain_s = settings->forward->drain_s;
 	dmn_block_signals();
 	start(&balancer, settings);
--- a/src/bin/relayd.c
+++ b/src/bin/relayd.c
@@ -4,6 +4,26 @@
 
 /* -- calls --------------------------------------------------------------- */
 
+static void print_time(FILE *out, const struct met *met, enum met_time time)
+{
+	const char *name = met_time_name(time);
+	uint64_t bound = MET_FIRST_US;
+	uint64_t sum = 0;
+	int i;
+
+	for (i = 0; i < MET_BUCKETS; i++) {
+		sum += met->times[time][i];
+		if (i + 1 < MET_BUCKETS)
+			fprintf(out, "jujube_%s_bucket{le=\"%llu\"} %llu\n",
+				name, (unsigned long long)bound,
+				(unsigned long long)sum);
+		bound *= 2;
+	}
+	fprintf(out, "jujube_%s_bucket{le=\"+Inf\"} %llu\n", name,
+		(unsigned long long)sum);
+	fprintf(out, "jujube_%s_count %llu\n", name, (unsigned long long)sum);
+}
+
 static char *metrics_text(struct rld *rld)
 {
 	char *text = NULL;
@@ -17,6 +37,8 @@
 		fprintf(out, "jujube_%s %llu\n", met_name((enum met_counter)i),
 			(unsigned long long)met_get(&rld->nod->met,
 						    (enum met_counter)i));
+	for (i = 0; i < MET_TIME_COUNT; i++)
+		print_time(out, &rld->nod->met, (enum met_time)i);
 	fclose(out);
 	return text;
 }
--- a/src/core/flow.c
+++ b/src/core/flow.c
@@ -338,7 +338,8 @@
 		flw_reset_caller(work->call, &work->head, work->head.ack);
 }
 
-static void on_unheld(const struct flw_work *work)
+/* flow: of the target, when it answered another copy of the opening, or null */
+static void on_unheld(const struct flw_work *work, const struct flw_flow *flow)
 {
 	const struct viw *view = work->call->view;
 	const Jj__Packet *packet = work->packet;
@@ -354,7 +355,7 @@
 		return;
 	}
 	visits_of(work, &visits);
-	if (!try_target(work, &visits))
+	if ((flow && flow->first_known) || !try_target(work, &visits))
 		search_on(work, &visits);
 }
 
@@ -503,7 +504,7 @@
 	else if (flow && flow_fits(flow, &work.head))
 		deliver(&work, flow);
 	else
-		on_unheld(&work);
+		on_unheld(&work, flow);
 	pthread_mutex_unlock(&work.shard->lock);
 }
 
@@ -546,9 +547,14 @@
 		flow->state = FLW_ANSWERED;
 		flow->first = head->seq;
 		flow->first_known = 1;
+		met_time(flw->desc.met, MET_TIME_OPENING,
+			 call->now - flow->opened);
 		tell_balancer(call, flow);
 		tell_home(call, flow);
 	}
+	if (head->payload && flow->in_hand)
+		met_time(flw->desc.met, MET_TIME_ANSWER,
+			 call->now - flow->work_since);
 	if (head->payload || head->closes || head->resets)
 		flw_end_work(flw, flow);
 	if (head->resets || (flow->caller_closed && flow->target_closed))
@@ -617,10 +623,10 @@
 			flw_place_again(call, shard, flow, 1);
 		return;
 	}
-	if (!flow)
-		on_not_held(call, shard, key, head, data, len);
-	else if (flow_fits(flow, head))
+	if (flow && flow_fits(flow, head))
 		on_forgotten(call, shard, flow);
+	else
+		on_not_held(call, shard, key, head, data, len);
 }
 
 void flw_from_target(const struct flw_call *call, uint8_t *data, size_t len)
--- a/src/io/logio.c
+++ b/src/io/logio.c
@@ -1,5 +1,6 @@
 #include "logio.h"
 
+#include <poll.h>
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
@@ -19,6 +20,7 @@
 /* Whether the event may be written now; *held tells how many were not. */
 static int may_write(struct lio *lio, int event, uint32_t *held)
 {
+	uint32_t burst = lio->form == LIO_FIELDS ? LIO_FIELDS_BURST : LIO_BURST;
 	uint64_t second = net_now_ms() / 1000;
 
 	*held = 0;
@@ -28,7 +30,7 @@
 		lio->window[event] = second;
 		lio->count[event] = 0;
 	}
-	if (lio->count[event]++ >= LIO_BURST) {
+	if (lio->count[event]++ >= burst) {
 		lio->held[event]++;
 		return 0;
 	}
@@ -37,31 +39,77 @@
 	return 1;
 }
 
+/* 0: it could not be written at once. */
+static int write_now(int fd, const char *text, int len)
+{
+	struct pollfd pfd = { .fd = fd, .events = POLLOUT };
+
+	return poll(&pfd, 1, 0) == 1 && pfd.revents & POLLOUT &&
+	       write(fd, text, (size_t)len) == len;
+}
+
+/* line is "JJnnn <what happened>: <fields>". */
+static int format_fields(const struct lio *lio, enum log_event event,
+			 enum log_level level, const char *line, uint32_t held,
+			 char *buf, size_t size)
+{
+	const char *what = log_text((int)event);
+	const char *fields = strstr(line, what);
+
+	fields = fields ? fields + strlen(what) + 2 : line;
+	return snprintf(buf, size,
+			"time_ms=%llu level=%d program=%s pid=%d event=JJ%d "
+			"what=\"%s\" not_written=%u %s\n",
+			(unsigned long long)net_wall_ms(), level, lio->program,
+			getpid(), (int)event, what, held, fields);
+}
+
+static int format_syslog(const struct lio *lio, enum log_level level,
+			 const char *line, uint32_t held, char *buf,
+			 size_t size)
+{
+	if (held)
+		return snprintf(buf, size,
+				"<%d>%s[%d]: %s (%u more held back)\n", level,
+				lio->program, getpid(), line, held);
+	return snprintf(buf, size, "<%d>%s[%d]: %s\n", level, lio->program,
+			getpid(), line);
+}
+
 static void write_line(void *ctx, enum log_event event, enum log_level level,
 		       const char *line)
 {
 	struct lio *lio = ctx;
+	char buf[1024];
 	uint32_t held;
+	int len;
 
 	if ((int)level > lio->level)
 		return;
 	pthread_mutex_lock(&lio->lock);
 	if (may_write(lio, (int)event, &held)) {
-		if (held)
-			fprintf(stderr, "<%d>%s[%d]: %s (%u more held back)\n",
-				level, lio->program, getpid(), line, held);
-		else
-			fprintf(stderr, "<%d>%s[%d]: %s\n", level, lio->program,
-				getpid(), line);
+		len = lio->form == LIO_FIELDS ?
+			      format_fields(lio, event, level, line, held, buf,
+					    sizeof(buf)) :
+			      format_syslog(lio, level, line, held, buf,
+					    sizeof(buf));
+		if (len >= (int)sizeof(buf))
+			len = (int)sizeof(buf) - 1;
+		if (!write_now(lio->form == LIO_FIELDS ? STDOUT_FILENO :
+							 STDERR_FILENO,
+			       buf, len))
+			lio->held[event] += held + 1;
 	}
 	pthread_mutex_unlock(&lio->lock);
 }
 
-void lio_init(struct lio *lio, const char *program, const char *level)
+void lio_init(struct lio *lio, const char *program, const char *level,
+	      enum lio_form form)
 {
 	memset(lio, 0, sizeof(*lio));
 	pthread_mutex_init(&lio->lock, NULL);
 	lio->program = program;
+	lio->form = form;
 	lio->level = level_of(level);
 	lio->sink.write = write_line;
 	lio->sink.ctx = lio;
--- a/tests/flow_test.cc
+++ b/tests/flow_test.cc
@@ -180,6 +180,33 @@
 	EXPECT_EQ(fleet.strays(key), 0);
 }
 
+/* The other copy's target must neither be tried nor swallow the packets. */
+TEST_P(FlowSeeds, FindTheirTargetFromOneThatHasAnotherCopy)
+{
+	desk_fleet fleet(GetParam(), 4);
+
+	fleet.lose_notices = true;
+	for (uint32_t i = 0; i < 8; i++) {
+		uint64_t key = fleet.caller(i);
+		wire opening = { fleet.callers[key].head, 0 };
+
+		fleet.give(0, key, opening, 1); /* chosen for it */
+		fleet.run(20000);
+		fleet.callers[key].open = false;
+		fleet.callers[key].head = opening.head;
+		fleet.give(1, key, opening, 1);
+		fleet.run(20000);
+		ASSERT_EQ(fleet.callers[key].opened_at, "agent-1");
+		wire request = { fleet.callers[key].head, 0 };
+		request.head.payload = 50;
+		fleet.give(0, key, request, 0);
+		fleet.run(60000);
+		EXPECT_EQ(fleet.callers[key].answers, 1);
+		/* One trial each at the two that were started lately. */
+		EXPECT_LE(fleet.strays(key), 2);
+	}
+}
+
 /* -- resets -------------------------------------------------------------- */
 
 TEST_P(FlowSeeds, AreResetWhenNoTargetHoldsThemAnyMore)
--- a/tests/relay_fake.h
+++ b/tests/relay_fake.h
@@ -133,6 +133,7 @@
 	std::shared_ptr<viw> view;
 	std::vector<std::string> log;
 	uint32_t delay_us = 1000;
+	bool lose_notices = false; /* of who holds a flow */
 	log_sink sink = { on_log, this };
 
 	explicit relay_fleet(uint64_t seed) : rng(seed)
@@ -434,6 +435,8 @@
 			jj__holdings__get_packed_size(env->holdings));
 
 		(void)port;
+		if (a->fleet->lose_notices)
+			return;
 		jj__holdings__pack(env->holdings, packed.data());
 		a->fleet->at(a->fleet->delay_us,
 			     [a, packed] { a->fleet->all_hear(*a, packed); });
@@ -626,6 +629,20 @@
 		at(delay_us, [this, id, packed] { agent_gets(id, packed); });
 		return JJ_OK;
 	}
+	/* Gives a packet to an agent; mode as in flow_internal.h. */
+	void give(size_t number, uint64_t key, wire w, uint32_t mode)
+	{
+		Jj__Packet packet = JJ__PACKET__INIT;
+
+		packet.service = rnk_name_id(agents[number]->service.c_str());
+		packet.flow = key;
+		packet.mode = mode;
+		packet.via_id = rnk_name_id(balancers[0]->name.c_str());
+		packet.data.data = (uint8_t *)&w;
+		packet.data.len = sizeof(w);
+		flw_call call = call_of(*agents[number]);
+		flw_from_fleet(&call, &packet);
+	}
 	jj_status request(uint64_t key, size_t via)
 	{
 		callers[key].head.payload = 50;
