--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -7,7 +7,7 @@
 git ls-files -z | xargs -0 cp --parents -t "$copy"
 cd "$copy" || exit 1
 cmake -S . -B build -G Ninja -DJJ_WERROR=OFF >/dev/null
-ninja -C build core_test table_test admit_test agent_test member_test >/dev/null || exit 1
+ninja -C build core_test table_test admit_test agent_test member_test flow_test >/dev/null || exit 1
 passed=0
 failed=0
 
@@ -73,5 +73,17 @@
 mechanism 10 $core/edit.c 's/if (!edt->has_unknown) {/if (1) {/' table 'outstanding.Conflict*'
 mechanism 10 $core/edit.c 's/^	edt->has_unknown = 0;//; s/edt->has_unknown = 1;//' table 'outstanding.*'
 mechanism 10 $core/member.c 's/^	mbr->push_left = send_limit(mbr);//; s/note_sender(mbr, now, ip, port, env);//' member '*Spread*/1'
+mechanism R1 $core/flow.c 's/if (!viw_leads_to(work->call->view/if (0 \&\& !viw_leads_to(work->call->view/' flow 'Opening.NeverReaches*'
+mechanism R2 $core/flow_target.c 's/^	if (target->said.leaving)$/	if (0)/' flow 'Opening.AvoidsALeaving*'
+mechanism R3 $core/flow_target.c 's/me->out || me->draining/me->out/' flow 'Opening.AvoidsAnEvacuated*'
+mechanism R4 $core/flow_target.c 's/return recent_openings(target, now) < limit;/return 1;/' flow 'Opening.GivesACold*'
+mechanism R5 $core/flow.c 's/return call->flw->settled && !other && !work->service->absent &&/return/' flow 'Flows.AreNotResetInDoubt'
+mechanism R6 $core/flow.c 's/return ack - first <= FLW_SPAN;/return 1;/' flow 'Seeds/FlowSeeds.FindTheirTarget*'
+mechanism R7 $core/flow.c 's/flow = adopt(call, shard, key, &head);/;/' flow 'Seeds/FlowSeeds.OpenByAnAnswer*'
+mechanism R8 $core/table.c 's/held->revision >= revision || same_content/same_content/' table 'sourced.AnOlder*'
+mechanism R9 $core/flow_wait.c 's/waiting->since > next->since/waiting->since < next->since/' flow 'Load.AFresh*'
+mechanism R10 $core/flow_place.c 's/return work->head.repeat && cap > queue ? cap - queue : cap;/return cap;/' flow 'Load.ALater*'
+mechanism R11 $core/flow_wait.c 's/^		flw_try_place(&work);$/		;/' flow 'Opening.GoesToAnotherHome*'
+mechanism R12 $core/flow_target.c 's/^	if (is_gone(flw, now))$/	if (0)/' flow 'Reports.MissingOnes*'
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
