Packets pass a target that swallows them; refusals are told, untaken answers free

Now every second packet that asks for an answer goes on, in doubt (no reset at its end).

Refusals are told to whoever placed the opening; an answer that nobody takes in 0.25 s frees its place. Tests failed before: Load.ARefusalIsToldToTheHome, Load.AnAnswerThatNobodyTakesFreesItsPlace.

--- a/gen/jujube.pb-c.c
+++ b/gen/jujube.pb-c.c
@@ -2353,7 +2353,7 @@
   (ProtobufCMessageInit) jj__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jj__packet__field_descriptors[17] =
+static const ProtobufCFieldDescriptor jj__packet__field_descriptors[18] =
 {
   {
     "service",
@@ -2559,6 +2559,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "doubt",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Jj__Packet, doubt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jj__packet__field_indices_by_name[] = {
   13,   /* field[13] = asks_left */
@@ -2567,6 +2579,7 @@
   1,   /* field[1] = caller_ip */
   2,   /* field[2] = caller_port */
   11,   /* field[11] = data */
+  17,   /* field[17] = doubt */
   3,   /* field[3] = flow */
   7,   /* field[7] = hops */
   8,   /* field[8] = mode */
@@ -2582,7 +2595,7 @@
 static const ProtobufCIntRange jj__packet__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor jj__packet__descriptor =
 {
@@ -2592,7 +2605,7 @@
   "Jj__Packet",
   "jj",
   sizeof(Jj__Packet),
-  17,
+  18,
   jj__packet__field_descriptors,
   jj__packet__field_indices_by_name,
   1,  jj__packet__number_ranges,
--- a/gen/jujube.pb-c.h
+++ b/gen/jujube.pb-c.h
@@ -417,14 +417,21 @@
    */
   uint32_t best_fill;
   /*
-   * relayed opening: agents that could not take it
+   * relayed: agents that could not take an
    */
   size_t n_tried;
   uint64_t *tried;
+  /*
+   * opening, or that a search has visited
+   */
+  /*
+   * search: a visited agent's target may hold it
+   */
+  protobuf_c_boolean doubt;
 };
 #define JJ__PACKET__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jj__packet__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, {0,NULL}, 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, {0,NULL}, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 /*
@@ -443,6 +450,9 @@
    * first is set
    */
   protobuf_c_boolean known;
+  /*
+   * it was refused by the holder: nobody has it
+   */
   protobuf_c_boolean closed;
 };
 #define JJ__HOLDING__INIT \
--- a/include/jujube/flow.h
+++ b/include/jujube/flow.h
@@ -58,6 +58,8 @@
 #define FLW_RETRY_US 500000 /* a silent target is tried so often */
 /* The caller's round trip is under 20 ms; it has given up after so long. */
 #define FLW_HALF_OPEN_US 2000000
+/* A caller that takes a target's answer does so within its round trip. */
+#define FLW_UNTAKEN_US 250000
 #define FLW_CLOSED_US 3000000 /* late copies of the last packets */
 #define FLW_COPIES 3 /* openings that a caller sends for one attempt */
 #define FLW_WAITING 64 /* openings that wait for room at one agent */
@@ -179,6 +181,8 @@
 	uint64_t at;
 	uint32_t first;
 	uint8_t first_known;
+	uint8_t refused; /* by the holder */
+	uint8_t trials; /* packets given to this agent's target on trial */
 	uint8_t not_here; /* this agent's target returned a packet of it */
 };
 
@@ -201,6 +205,7 @@
 	uint64_t key;
 	uint64_t visited[FLW_SEARCH_MAX];
 	uint32_t count;
+	uint8_t doubt;
 };
 
 /* An opening that waits, for room or for the answer of who was chosen. */
@@ -209,6 +214,7 @@
 	uint64_t until;
 	uint64_t key;
 	uint64_t chosen; /* agent, 0: waits for room */
+	uint64_t origin; /* agent that placed it here, or 0 */
 	uint64_t via_id;
 	uint32_t via_ip;
 	uint16_t via_port;
--- a/src/core/flow.c
+++ b/src/core/flow.c
@@ -161,6 +161,31 @@
 		tell(call, home->ip, home->data_port, &items, 1);
 }
 
+/* Whom it was given to has turned it down, or who that passed it on to. */
+static void note_refusal(struct flw_shard *shard, uint64_t key)
+{
+	struct flw_exception *e = flw_exception(shard, key);
+
+	if (e && !e->first_known)
+		e->refused = 1;
+}
+
+void flw_tell_refusal(const struct flw_work *work)
+{
+	const struct viw_agent *origin =
+		viw_agent(work->call->view, work->packet->origin);
+	Jj__Holding item = JJ__HOLDING__INIT;
+	Jj__Holding *items = &item;
+
+	item.flow = work->packet->flow;
+	item.holder = work->me->id;
+	item.closed = 1;
+	if (origin == work->me)
+		note_refusal(work->shard, item.flow);
+	else if (origin)
+		tell(work->call, origin->ip, origin->data_port, &items, 1);
+}
+
 /* The balancer that the flow's packets come through, once each. */
 static void tell_balancer(const struct flw_call *call, struct flw_flow *flow)
 {
@@ -192,6 +217,7 @@
 struct visits {
 	uint64_t ids[FLW_SEARCH_MAX];
 	uint32_t count;
+	int doubt; /* some agent's target may hold the flow nevertheless */
 };
 
 static int has_visited(const struct visits *visits, uint64_t id)
@@ -210,6 +236,7 @@
 	size_t i;
 
 	visits->count = 0;
+	visits->doubt = packet->doubt;
 	if (packet->mode == FLW_SEARCH)
 		for (i = 0; i < packet->n_tried && i + 1 < FLW_SEARCH_MAX; i++)
 			visits->ids[visits->count++] = packet->tried[i];
@@ -227,6 +254,7 @@
 	trial = &flw->trials[at];
 	trial->key = key;
 	trial->count = visits->count;
+	trial->doubt = (uint8_t)visits->doubt;
 	memcpy(trial->visited, visits->ids,
 	       visits->count * sizeof(*visits->ids));
 	pthread_mutex_unlock(&flw->trial_lock);
@@ -245,6 +273,7 @@
 	trial = &flw->trials[mark - 1];
 	found = trial->key == key;
 	visits->count = trial->count;
+	visits->doubt = trial->doubt;
 	memcpy(visits->ids, trial->visited,
 	       trial->count * sizeof(*visits->ids));
 	pthread_mutex_unlock(&flw->trial_lock);
@@ -253,23 +282,34 @@
 
 /*
  * The target of an agent that was started lately may hold flows that the
- * agent does not know. Their packets are tried there until one comes back;
- * that none did proves nothing, as not every packet is answered.
+ * agent does not know, so their packets are tried there until one comes back.
+ * That none did proves nothing: bare acknowledgements are not answered, and a
+ * target that was given another copy of the opening may swallow all. Every
+ * second packet that asks for an answer therefore goes on searching, in doubt.
+ * Returns 1: tried.
  */
-static int try_target(const struct flw_work *work, const struct visits *visits)
+static int try_target(const struct flw_work *work, struct visits *visits)
 {
 	const struct flw_call *call = work->call;
 	struct flw *flw = call->flw;
-	struct flw_exception *known =
-		flw_exception(work->shard, work->packet->flow);
+	uint64_t key = work->packet->flow;
+	struct flw_exception *known = flw_exception(work->shard, key);
+	struct flw_exception e = { .key = key, .at = call->now };
 	uint8_t buf[FRM_MAX_DATAGRAM];
 
 	if (call->now > flw->started + flw->desc.flow_ttl_s * 1000000ull ||
 	    (known && known->not_here) || work->packet->data.len > sizeof(buf))
 		return 0;
+	if (known)
+		e = *known;
+	e.trials += work->head.payload || work->head.closes;
+	flw_put_exception(work->shard, &e);
+	if (e.trials && e.trials % 2 == 0) {
+		visits->doubt = 1;
+		return 0;
+	}
 	memcpy(buf, work->packet->data.data, work->packet->data.len);
-	flw->desc.codec.set_mark(buf,
-				 save_trial(flw, work->packet->flow, visits));
+	flw->desc.codec.set_mark(buf, save_trial(flw, key, visits));
 	met_add(flw->desc.met, MET_TRIED, 1);
 	flw->desc.hooks.to_target(flw->desc.hooks.ctx, buf,
 				  work->packet->data.len);
@@ -319,20 +359,22 @@
 
 	packet.tried = (uint64_t *)visits->ids;
 	packet.n_tried = visits->count;
+	packet.doubt = visits->doubt;
 	packet.hops = 0;
 	search.packet = &packet;
 	if (next && visits->count < FLW_SEARCH_MAX) {
 		flw_forward(&search, next, FLW_SEARCH);
 		return;
 	}
-	proves = !next && search_proves(work);
+	proves = !next && !visits->doubt && search_proves(work);
 	met_add(flw->desc.met, MET_UNHELD, 1);
 	log_put(flw->desc.log, EV_FLOW_UNHELD,
-		"flow=%08x:%u>%08x:%u ack=%u visited=%u absent=%u reset=%d "
+		"flow=%08x:%u>%08x:%u ack=%u visited=%u absent=%u doubt=%d "
+		"reset=%d "
 		"revision=%llu",
 		work->head.caller_ip, work->head.caller_port,
 		work->head.service_ip, work->head.service_port, work->head.ack,
-		visits->count, work->service->absent, proves,
+		visits->count, work->service->absent, visits->doubt, proves,
 		(unsigned long long)work->call->view->revision);
 	if (proves)
 		flw_reset_caller(work->call, &work->head, work->head.ack);
@@ -437,7 +479,7 @@
 	struct flw_work again = *work;
 	uint64_t tried[FLW_TRIED_MAX];
 
-	if (!e || !e->holder || !work->head.repeat) {
+	if (!e || !e->holder || e->refused || !work->head.repeat) {
 		flw_place(work);
 		return;
 	}
@@ -679,7 +721,10 @@
 					   .at = call->now };
 
 		pthread_mutex_lock(&shard->lock);
-		flw_put_exception(shard, &e);
+		if (item->closed)
+			note_refusal(shard, item->flow);
+		else
+			flw_put_exception(shard, &e);
 		pthread_mutex_unlock(&shard->lock);
 	}
 }
@@ -749,6 +794,9 @@
 		flw_place_again(call, shard, flow, 0);
 		return;
 	}
+	if (flow->state == FLW_ANSWERED &&
+	    call->now > flow->opened + FLW_UNTAKEN_US)
+		flw_end_work(flw, flow);
 	if ((flow->state == FLW_ANSWERED && quiet > FLW_HALF_OPEN_US) ||
 	    (flow->state == FLW_CLOSED && quiet > FLW_CLOSED_US) ||
 	    quiet > idle_us) {
--- a/src/core/flow_internal.h
+++ b/src/core/flow_internal.h
@@ -75,6 +75,8 @@
 /* flow.c */
 void flw_forward(const struct flw_work *work, const struct viw_agent *to,
 		 enum flw_mode mode);
+/* Who placed an opening here need not wait for an answer. */
+void flw_tell_refusal(const struct flw_work *work);
 void flw_reset_caller(const struct flw_call *call,
 		      const struct flw_packet *packet, uint32_t seq);
 
--- a/src/core/flow_place.c
+++ b/src/core/flow_place.c
@@ -262,7 +262,7 @@
 	const struct flw_exception *e =
 		flw_exception(work->shard, work->packet->flow);
 
-	return e && e->holder;
+	return e && e->holder && !e->refused;
 }
 
 /*
@@ -273,6 +273,7 @@
 {
 	met_add(work->call->flw->desc.met, MET_REFUSED, 1);
 	log_opening(work, EV_FLOW_REFUSED, "why", why);
+	flw_tell_refusal(work);
 	if (!was_given(work))
 		flw_reset_caller(work->call, &work->head, 0);
 }
@@ -374,12 +375,17 @@
 {
 	uint32_t own = was_tried(work, work->me->id) ? NOBODY : own_fill(work);
 	const struct viw_agent *peer = least_peer(work, own);
+	struct flw_work chosen = *work;
+	Jj__Packet packet;
 
 	if (peer) {
 		met_add(work->call->flw->desc.met, MET_FLOWS_PLACED, 1);
 		remember(work, peer->id);
 		flw_keep_chosen(work, peer->id);
-		flw_forward(work, peer, FLW_PLACED);
+		packet = *work->packet;
+		packet.origin = work->me->id;
+		chosen.packet = &packet;
+		flw_forward(&chosen, peer, FLW_PLACED);
 		return 1;
 	}
 	if (own == NOBODY)
--- a/src/core/flow_wait.c
+++ b/src/core/flow_wait.c
@@ -40,6 +40,7 @@
 			.until = work->call->now + wait_us,
 			.key = packet->flow,
 			.chosen = chosen,
+			.origin = packet->origin,
 			.via_id = packet->via_id,
 			.via_ip = packet->via_ip,
 			.via_port = (uint16_t)packet->via_port,
@@ -121,6 +122,7 @@
 				   .me = viw_agent(call->view, flw->desc.id) };
 	packet->service = flw->service;
 	packet->flow = waiting->key;
+	packet->origin = waiting->origin;
 	packet->via_id = waiting->via_id;
 	packet->via_ip = waiting->via_ip;
 	packet->via_port = waiting->via_port;
@@ -206,7 +208,8 @@
 		return;
 	pthread_mutex_lock(&work.shard->lock);
 	e = flw_exception(work.shard, waiting->key);
-	if (e && e->holder == waiting->chosen && !e->first_known) {
+	if (e && e->holder == waiting->chosen && !e->first_known &&
+	    !e->refused) {
 		log_put(call->flw->desc.log, EV_PEER_SILENT,
 			"flow=%08x:%u>%08x:%u agent=%016llx",
 			work.head.caller_ip, work.head.caller_port,
--- a/tests/flow_test.cc
+++ b/tests/flow_test.cc
@@ -207,6 +207,38 @@
 	}
 }
 
+/*
+ * A target that was given another copy may swallow the packets; its agent was
+ * restarted and cannot know.
+ */
+TEST_P(FlowSeeds, ReachTheirTargetPastOneThatSwallowsTheirPackets)
+{
+	desk_fleet fleet(GetParam(), 4);
+	relay_agent &other = *fleet.agents[0];
+	uint64_t key = fleet.caller(1);
+	wire opening = { fleet.callers[key].head, 0 };
+
+	fleet.lose_notices = true;
+	other.target->swallows = true;
+	fleet.give(0, key, opening, 1);
+	fleet.run(20000);
+	fleet.callers[key].open = false;
+	fleet.callers[key].head = opening.head;
+	fleet.give(1, key, opening, 1);
+	fleet.run(20000);
+	fleet.kill(other);
+	fleet.restart(other);
+	wire request = { fleet.callers[key].head, 0 };
+	request.head.payload = 50;
+	for (int i = 0; i < 2; i++) {
+		fleet.give(0, key, request, 0);
+		fleet.run(200000);
+	}
+	EXPECT_GE(fleet.callers[key].answers, 1);
+	EXPECT_FALSE(fleet.callers[key].reset);
+	EXPECT_LT(other.target->strays[key], 3);
+}
+
 /* -- resets -------------------------------------------------------------- */
 
 TEST_P(FlowSeeds, AreResetWhenNoTargetHoldsThemAnyMore)
@@ -518,6 +550,48 @@
 	EXPECT_FALSE(fleet.callers[keys[0]].open);
 }
 
+/* A caller that was reset, or took another target's answer, holds no slot. */
+TEST(Load, AnAnswerThatNobodyTakesFreesItsPlace)
+{
+	desk_fleet fleet(17, 1);
+
+	for (uint32_t i = 0; i < 6; i++)
+		fleet.send(fleet.caller(i), 0);
+	fleet.run(10000);
+	EXPECT_EQ(fleet.agents[0]->core->in_hand, 6u);
+	fleet.run(FLW_UNTAKEN_US + 2 * FLW_TICK_US);
+	EXPECT_EQ(fleet.agents[0]->core->in_hand, 0u);
+	uint64_t key = fleet.caller(50);
+	fleet.send(key, 0);
+	fleet.run(10000);
+	fleet.request(key, 0);
+	fleet.run(50000);
+	EXPECT_EQ(fleet.callers[key].answers, 1);
+}
+
+/* The home need not place again what was refused, nor avoid who refused it. */
+TEST(Load, ARefusalIsToldToTheHome)
+{
+	desk_fleet fleet(18, 2);
+
+	fleet.agents[0]->target->work_us = 3 * SECOND;
+	for (uint32_t i = 0; i < 6; i++) {
+		uint64_t key = fleet.caller(i);
+
+		fleet.give(0, key, wire{ fleet.callers[key].head, 0 }, 1);
+		fleet.run(4000);
+		wire request = { fleet.callers[key].head, 0 };
+		request.head.payload = 50;
+		fleet.give(0, key, request, 0);
+	}
+	fleet.report(*fleet.agents[1], true); /* the home knows it as idle */
+	uint64_t key = fleet.caller(50);
+	fleet.give(0, key, wire{ fleet.callers[key].head, 0 }, 0);
+	fleet.run(300000);
+	EXPECT_TRUE(fleet.callers[key].reset);
+	EXPECT_EQ(fleet.logged("JJ525"), 0u);
+}
+
 TEST(Load, ALaterCopyTakesIdleSlotsOnly)
 {
 	desk_fleet fleet(15, 1);
--- a/tests/relay_fake.h
+++ b/tests/relay_fake.h
@@ -86,6 +86,7 @@
 	std::vector<uint64_t> opened_at;
 	bool silent = false;
 	bool returns_openings = false;
+	bool swallows = false; /* packets that do not fit what it opened */
 	uint64_t work_us = 10000;
 	uint64_t answer_us = 0; /* to an opening */
 	uint32_t slots = 4;
@@ -529,6 +530,8 @@
 		    (!held->second.open &&
 		     w.head.ack != held->second.first + 1)) {
 			t.strays[key]++;
+			if (held != t.flows.end() && t.swallows)
+				return;
 			w.head.returned = 1;
 			from_target(a, w);
 			return;
