Load reports go to a few peers in a round

Test failed before (1,911 reports a second at 40 agents against 416): Load.ReportsAreBoundedInALargeService.

--- a/include/jujube/flow.h
+++ b/include/jujube/flow.h
@@ -73,6 +73,8 @@
 #define FLW_SPAN (1u << 24) /* bytes of answers on one flow */
 #define FLW_LOAD_US 20000 /* least time between load reports */
 #define FLW_LOAD_MAX_US 300000 /* longest time between load reports */
+/* Peers in one round: 400 reports a second at most, 24 KB, of a busy agent. */
+#define FLW_LOAD_PEERS 8
 #define FLW_LOAD_FRESH_US 700000 /* peers silent for longer get no flows */
 #define FLW_TICK_US 20000
 #define FLW_COLD_WINDOW_US 1050000 /* a second, and how exact clocks are */
@@ -275,7 +277,10 @@
 	pthread_mutex_t peer_lock;
 	struct flw_peer peers[FLW_PEERS];
 	uint64_t next_tick;
-	uint64_t load_sent_at;
+	uint64_t load_sent_at; /* the last round */
+	uint64_t load_full_at; /* the last report to all peers began */
+	uint32_t load_left; /* peers that have not had the last report */
+	uint32_t load_next; /* position in the service of the next peer */
 	uint32_t load_sent;
 	uint32_t cap_sent;
 	uint64_t digest; /* of the view whose homes know this agent's flows */
--- a/src/core/flow_place.c
+++ b/src/core/flow_place.c
@@ -79,9 +79,11 @@
 	return flw_cap(call->flw, service, call->now);
 }
 
+/* To the next peers of the circle. */
 static void send_load(const struct flw_call *call,
 		      const struct viw_service *service,
-		      const struct viw_agent *me, uint32_t cap)
+		      const struct viw_agent *me, uint32_t cap, uint32_t first,
+		      uint32_t most)
 {
 	struct flw *flw = call->flw;
 	Jj__Envelope env = JJ__ENVELOPE__INIT;
@@ -93,9 +95,10 @@
 	load.flows = flw->flow_count;
 	env.body_case = JJ__ENVELOPE__BODY_LOAD;
 	env.load = &load;
-	for (i = 0; i < service->count; i++) {
+	for (i = 0; i < most && i < service->count; i++) {
+		uint32_t at = (first + i) % service->count;
 		const struct viw_agent *to =
-			&call->view->agents[service->first + i];
+			&call->view->agents[service->first + at];
 
 		if (to != me)
 			flw->desc.hooks.control(flw->desc.hooks.ctx,
@@ -103,30 +106,41 @@
 	}
 }
 
+/*
+ * A change, and every FLW_LOAD_MAX_US the state as it is, goes to all peers,
+ * a few in a round. A change meanwhile begins the circle anew from where it
+ * is, so that no peer is left out.
+ */
 void flw_report_load(const struct flw_call *call)
 {
 	struct flw *flw = call->flw;
 	const struct viw_service *service =
 		viw_service(call->view, flw->service);
 	const struct viw_agent *me = viw_agent(call->view, flw->desc.id);
+	uint32_t first;
+	uint32_t most;
 	uint32_t cap;
-	int changed;
 
-	if (!service || !me)
+	if (!service || !me || call->now < flw->load_sent_at + FLW_LOAD_US)
 		return;
 	cap = offered_cap(call, service, me);
 	pthread_mutex_lock(&flw->peer_lock);
-	changed = flw->in_hand != flw->load_sent || cap != flw->cap_sent;
-	if (call->now <
-	    flw->load_sent_at + (changed ? FLW_LOAD_US : FLW_LOAD_MAX_US)) {
-		pthread_mutex_unlock(&flw->peer_lock);
-		return;
+	if (flw->in_hand != flw->load_sent || cap != flw->cap_sent ||
+	    call->now >= flw->load_full_at + FLW_LOAD_MAX_US) {
+		flw->load_left = service->count;
+		flw->load_full_at = call->now;
+		flw->load_sent = flw->in_hand;
+		flw->cap_sent = cap;
 	}
-	flw->load_sent = flw->in_hand;
-	flw->cap_sent = cap;
-	flw->load_sent_at = call->now;
+	most = flw->load_left < FLW_LOAD_PEERS ? flw->load_left :
+						 FLW_LOAD_PEERS;
+	first = flw->load_next;
+	flw->load_next += most;
+	flw->load_left -= most;
+	if (most)
+		flw->load_sent_at = call->now;
 	pthread_mutex_unlock(&flw->peer_lock);
-	send_load(call, service, me, cap);
+	send_load(call, service, me, cap, first, most);
 }
 
 /* -- choosing ------------------------------------------------------------ */
--- a/tests/flow_test.cc
+++ b/tests/flow_test.cc
@@ -550,6 +550,33 @@
 	EXPECT_FALSE(fleet.callers[keys[0]].open);
 }
 
+/*
+ * A report goes to a few peers at a time, so that a busy agent of a large
+ * service sends no more of them, and each peer's stays fresh.
+ */
+TEST(Load, ReportsAreBoundedInALargeService)
+{
+	desk_fleet fleet(19, 40);
+	relay_agent &agent = *fleet.agents[0];
+	uint64_t id = rnk_name_id(agent.name.c_str());
+
+	fleet.run(2 * SECOND);
+	fleet.reports.clear();
+	for (uint32_t i = 0; i < 50; i++) {
+		agent.core->in_hand = i % 4; /* changes all the time */
+		fleet.run(FLW_LOAD_US);
+		for (size_t j = 1; j < fleet.agents.size(); j++)
+			for (auto &peer : fleet.agents[j]->core->peers)
+				if (peer.id == id)
+					EXPECT_LT(fleet.now,
+						  peer.at + FLW_LOAD_FRESH_US);
+	}
+	agent.core->in_hand = 0;
+	EXPECT_LE(fleet.reports[id],
+		  (SECOND / FLW_LOAD_US + 2) * FLW_LOAD_PEERS);
+	EXPECT_GE(fleet.reports[id], 100u);
+}
+
 /* A caller that was reset, or took another target's answer, holds no slot. */
 TEST(Load, AnAnswerThatNobodyTakesFreesItsPlace)
 {
--- a/tests/relay_fake.h
+++ b/tests/relay_fake.h
@@ -134,6 +134,7 @@
 	std::shared_ptr<viw> view;
 	std::vector<std::string> log;
 	uint32_t delay_us = 1000;
+	std::map<uint64_t, uint64_t> reports; /* sent, by agent */
 	bool lose_notices = false; /* of who holds a flow */
 	log_sink sink = { on_log, this };
 
@@ -451,6 +452,8 @@
 		uint32_t load = env->load->in_flight;
 		uint32_t cap = env->load->cap;
 
+		a->fleet->reports[from]++;
+
 		a->fleet->at(a->fleet->delay_us, [a, from, id, load, cap] {
 			relay_agent *peer = a->fleet->agent_of(id);
 			Jj__Load msg = JJ__LOAD__INIT;
