Notices reach whom they are meant for: placers, former services, silent copies

Cause: the fleet of the flow tests gave every notice of who holds a flow to all processes. Holders now tell both. - an opening that a silent target had was refused with a reset by the next agent, though the target's answer could still be taken. Such an opening carries the doubt, and is dropped instead. - a flow whose route had moved was searched among the agents of the new service only. The search goes on in the services that the address led to. Ruled out for JJ525: lost answers (both agents in one data centre, no loss).

--- a/gen/jujube.pb-c.c
+++ b/gen/jujube.pb-c.c
@@ -2353,7 +2353,7 @@
   (ProtobufCMessageInit) jj__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jj__packet__field_descriptors[18] =
+static const ProtobufCFieldDescriptor jj__packet__field_descriptors[19] =
 {
   {
     "service",
@@ -2571,6 +2571,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "searched",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Jj__Packet, searched),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jj__packet__field_indices_by_name[] = {
   13,   /* field[13] = asks_left */
@@ -2584,6 +2596,7 @@
   7,   /* field[7] = hops */
   8,   /* field[8] = mode */
   12,   /* field[12] = origin */
+  18,   /* field[18] = searched */
   0,   /* field[0] = service */
   9,   /* field[9] = to_agent */
   10,   /* field[10] = to_incarnation */
@@ -2595,7 +2608,7 @@
 static const ProtobufCIntRange jj__packet__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor jj__packet__descriptor =
 {
@@ -2605,7 +2618,7 @@
   "Jj__Packet",
   "jj",
   sizeof(Jj__Packet),
-  18,
+  19,
   jj__packet__field_descriptors,
   jj__packet__field_indices_by_name,
   1,  jj__packet__number_ranges,
--- a/gen/jujube.pb-c.h
+++ b/gen/jujube.pb-c.h
@@ -425,13 +425,20 @@
    * opening, or that a search has visited
    */
   /*
-   * search: a visited agent's target may hold it
+   * some target may hold it, or has a copy of the
    */
   protobuf_c_boolean doubt;
+  /*
+   * opening
+   */
+  /*
+   * services of the address that were searched
+   */
+  uint32_t searched;
 };
 #define JJ__PACKET__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jj__packet__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, {0,NULL}, 0, 0, 0, 0, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, {0,NULL}, 0, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 /*
--- a/include/jujube/flow.h
+++ b/include/jujube/flow.h
@@ -152,6 +152,7 @@
 	uint64_t opened;
 	uint64_t seen;
 	uint64_t via_id; /* balancer */
+	uint64_t origin; /* agent that placed it here, or 0 */
 	uint32_t via_ip;
 	uint16_t via_port;
 	uint16_t caller_port;
@@ -163,6 +164,7 @@
 	uint8_t in_hand; /* the target owes an answer */
 	uint8_t caller_closed;
 	uint8_t target_closed;
+	uint8_t doubt; /* another target may have a copy of its opening */
 	uint8_t opening_len;
 	uint8_t tried_count;
 	uint32_t first; /* the target's first sequence number */
@@ -207,6 +209,7 @@
 	uint64_t key;
 	uint64_t visited[FLW_SEARCH_MAX];
 	uint32_t count;
+	uint32_t searched; /* services */
 	uint8_t doubt;
 };
 
@@ -220,6 +223,7 @@
 	uint64_t via_id;
 	uint32_t via_ip;
 	uint16_t via_port;
+	uint8_t doubt; /* some target may have a copy */
 	uint8_t opening_len;
 	uint8_t opening[FLW_OPENING_MAX];
 };
--- a/src/core/flow.c
+++ b/src/core/flow.c
@@ -146,19 +146,28 @@
 				   &env);
 }
 
-static void tell_home(const struct flw_call *call, struct flw_flow *flow)
+/*
+ * The home, and the agent that placed the flow here: balancers that avoid a
+ * home, or know other agents, send openings to one that ranks lower by this
+ * agent's view.
+ */
+static void tell_placers(const struct flw_call *call, struct flw_flow *flow)
 {
 	struct flw *flw = call->flw;
 	const struct viw_service *service =
 		viw_service(call->view, flw->service);
 	const struct viw_agent *home =
 		service ? viw_home(call->view, service, flow->key) : NULL;
+	const struct viw_agent *origin =
+		flow->origin ? viw_agent(call->view, flow->origin) : NULL;
 	Jj__Holding item;
 	Jj__Holding *items = &item;
 
 	fill_holding(&item, flw, flow);
 	if (home && home->id != flw->desc.id)
 		tell(call, home->ip, home->data_port, &items, 1);
+	if (origin && origin != home && origin->id != flw->desc.id)
+		tell(call, origin->ip, origin->data_port, &items, 1);
 }
 
 /* Whom it was given to has turned it down, or who that passed it on to. */
@@ -217,6 +226,7 @@
 struct visits {
 	uint64_t ids[FLW_SEARCH_MAX];
 	uint32_t count;
+	uint32_t searched; /* services of the address, before this one */
 	int doubt; /* some agent's target may hold the flow nevertheless */
 };
 
@@ -236,6 +246,7 @@
 	size_t i;
 
 	visits->count = 0;
+	visits->searched = packet->searched;
 	visits->doubt = packet->doubt;
 	if (packet->mode == FLW_SEARCH)
 		for (i = 0; i < packet->n_tried && i + 1 < FLW_SEARCH_MAX; i++)
@@ -254,6 +265,7 @@
 	trial = &flw->trials[at];
 	trial->key = key;
 	trial->count = visits->count;
+	trial->searched = visits->searched;
 	trial->doubt = (uint8_t)visits->doubt;
 	memcpy(trial->visited, visits->ids,
 	       visits->count * sizeof(*visits->ids));
@@ -273,6 +285,7 @@
 	trial = &flw->trials[mark - 1];
 	found = trial->key == key;
 	visits->count = trial->count;
+	visits->searched = trial->searched;
 	visits->doubt = trial->doubt;
 	memcpy(visits->ids, trial->visited,
 	       trial->count * sizeof(*visits->ids));
@@ -334,19 +347,74 @@
 	return NULL;
 }
 
+/*
+ * The service that the flow's address leads or led to, next in the circle of
+ * all such services after one; that itself when there is no other.
+ */
+static const struct viw_service *next_service(const struct flw_work *work,
+					      const struct viw_service *after)
+{
+	const struct viw *view = work->call->view;
+	const struct viw_service *next = viw_former(
+		view, work->head.service_ip, work->head.service_port, after);
+
+	return next ? next :
+		      viw_former(view, work->head.service_ip,
+				 work->head.service_port, NULL);
+}
+
+/* How many services the flow's address leads or led to. */
+static uint32_t count_services(const struct flw_work *work)
+{
+	const struct viw_service *service = NULL;
+	uint32_t count = 0;
+
+	while ((service = viw_former(work->call->view, work->head.service_ip,
+				     work->head.service_port, service)))
+		count++;
+	return count;
+}
+
+/*
+ * A flow stays with its service when its route moves to another. 1: the search
+ * goes on there.
+ */
+static int search_former(const struct flw_work *work,
+			 const struct visits *visits)
+{
+	const struct viw *view = work->call->view;
+	const struct viw_service *service = work->service;
+	uint32_t left = count_services(work);
+	uint32_t searched = visits->searched + 1;
+
+	for (; searched < left; searched++) {
+		const struct viw_agent *home;
+		Jj__Packet packet = *work->packet;
+		struct flw_work search = *work;
+
+		service = next_service(work, service);
+		home = viw_home(view, service, packet.flow);
+		if (!home || service == work->service)
+			continue;
+		packet.service = service->id;
+		packet.searched = searched;
+		packet.doubt = visits->doubt;
+		packet.n_tried = 0;
+		packet.hops = 0;
+		search.packet = &packet;
+		flw_forward(&search, home, FLW_FIRST);
+		return 1;
+	}
+	return 0;
+}
+
 /* Nobody holds it, as far as all agents that could know. */
 static int search_proves(const struct flw_work *work)
 {
-	const struct flw_call *call = work->call;
-	const struct viw_service *other =
-		viw_former(call->view, work->head.service_ip,
-			   work->head.service_port, NULL);
-
-	if (other == work->service)
-		other = viw_former(call->view, work->head.service_ip,
-				   work->head.service_port, other);
-	return call->flw->settled && !other && !work->service->absent &&
-	       work->head.acknowledges && !work->head.resets;
+	return work->call->flw->settled && count_services(work) <= 1 &&
+	       next_service(work, NULL) == work->service &&
+	       !work->service->absent && work->head.acknowledges &&
+	       !work->head.resets;
 }
 
 static void search_on(const struct flw_work *work, const struct visits *visits)
@@ -360,12 +428,15 @@
 	packet.tried = (uint64_t *)visits->ids;
 	packet.n_tried = visits->count;
 	packet.doubt = visits->doubt;
+	packet.searched = visits->searched;
 	packet.hops = 0;
 	search.packet = &packet;
 	if (next && visits->count < FLW_SEARCH_MAX) {
 		flw_forward(&search, next, FLW_SEARCH);
 		return;
 	}
+	if (search_former(work, visits))
+		return;
 	proves = !next && !visits->doubt && search_proves(work);
 	met_add(flw->desc.met, MET_UNHELD, 1);
 	log_put(flw->desc.log, EV_FLOW_UNHELD,
@@ -574,7 +645,7 @@
 	flow->service_port = head->service_port;
 	flow->caller_next = head->ack;
 	met_add(call->flw->desc.met, MET_ADOPTED, 1);
-	tell_home(call, flow);
+	tell_placers(call, flow);
 	return flow;
 }
 
@@ -592,7 +663,7 @@
 		met_time(flw->desc.met, MET_TIME_OPENING,
 			 call->now - flow->opened);
 		tell_balancer(call, flow);
-		tell_home(call, flow);
+		tell_placers(call, flow);
 	}
 	if (head->payload && flow->in_hand)
 		met_time(flw->desc.met, MET_TIME_ANSWER,
@@ -749,7 +820,7 @@
 
 			if (flow->key && (flow->state == FLW_ANSWERED ||
 					  flow->state == FLW_OPEN))
-				tell_home(call, flow);
+				tell_placers(call, flow);
 		}
 		pthread_mutex_unlock(&shard->lock);
 	}
--- a/src/core/flow_place.c
+++ b/src/core/flow_place.c
@@ -280,15 +280,15 @@
 }
 
 /*
- * The caller hears so at once, unless a target was given a copy: it may have
- * answered, and silence is the truth.
+ * The caller hears so at once, unless a target was given a copy, here or by an
+ * agent before: it may have answered, and silence is the truth.
  */
 void flw_refuse(const struct flw_work *work, const char *why)
 {
 	met_add(work->call->flw->desc.met, MET_REFUSED, 1);
 	log_opening(work, EV_FLOW_REFUSED, "why", why);
 	flw_tell_refusal(work);
-	if (!was_given(work))
+	if (!work->packet->doubt && !was_given(work))
 		flw_reset_caller(work->call, &work->head, 0);
 }
 
@@ -325,6 +325,8 @@
 	flow->via_id = packet->via_id;
 	flow->via_ip = packet->via_ip;
 	flow->via_port = (uint16_t)packet->via_port;
+	flow->origin = packet->origin;
+	flow->doubt = (uint8_t)packet->doubt;
 	flow->caller_ip = work->head.caller_ip;
 	flow->caller_port = work->head.caller_port;
 	flow->service_ip = work->head.service_ip;
@@ -362,6 +364,8 @@
 	memcpy(tried, packet.tried, packet.n_tried * sizeof(*tried));
 	tried[packet.n_tried++] = work->me->id;
 	packet.tried = tried;
+	if (!packet.origin)
+		packet.origin = work->me->id;
 	next.packet = &packet;
 	to = least_peer(&next, NOBODY);
 	if (!to) {
@@ -442,6 +446,9 @@
 	packet.via_id = flow->via_id;
 	packet.via_ip = flow->via_ip;
 	packet.via_port = flow->via_port;
+	packet.origin = flow->origin;
+	/* A silent target may still have it; one that returned it has not. */
+	packet.doubt = flow->doubt || !returned;
 	packet.tried = tried;
 	packet.n_tried = flow->tried_count;
 	packet.data.data = opening;
@@ -451,7 +458,6 @@
 	    flw->desc.codec.decode(opening, packet.data.len, 0, &work.head) !=
 		    JJ_OK)
 		return;
-	/* A silent target may still have it: only a returned copy may fail. */
 	if (!returned && !work.head.repeat)
 		work.head.repeat = 1;
 	pass_on(&work, returned ? "target returned it" : "target is silent");
--- a/src/core/flow_wait.c
+++ b/src/core/flow_wait.c
@@ -44,6 +44,7 @@
 			.via_id = packet->via_id,
 			.via_ip = packet->via_ip,
 			.via_port = (uint16_t)packet->via_port,
+			.doubt = (uint8_t)packet->doubt,
 			.opening_len = (uint8_t)packet->data.len,
 		};
 		memcpy(use->opening, packet->data.data, packet->data.len);
@@ -126,6 +127,7 @@
 	packet->via_id = waiting->via_id;
 	packet->via_ip = waiting->via_ip;
 	packet->via_port = waiting->via_port;
+	packet->doubt = waiting->doubt;
 	packet->data.data = waiting->opening;
 	packet->data.len = waiting->opening_len;
 	if (!work->service || !work->me ||
@@ -218,6 +220,7 @@
 		flw_avoid_peer(call->flw, waiting->chosen);
 		packet.tried = &waiting->chosen;
 		packet.n_tried = 1;
+		packet.doubt = 1;
 		if (!work.head.repeat)
 			work.head.repeat = 1;
 		flw_try_place(&work);
--- a/tests/flow_test.cc
+++ b/tests/flow_test.cc
@@ -619,6 +619,21 @@
 	EXPECT_EQ(fleet.logged("JJ525"), 0u);
 }
 
+/* A balancer's first home may be of a lower rank by the holder's view. */
+TEST(Load, AnAnswerIsToldToWhoPlacedTheOpening)
+{
+	desk_fleet fleet(19, 5);
+
+	for (uint32_t i = 0; i < 40; i++) {
+		uint64_t key = fleet.caller(i);
+
+		fleet.give(i % 5, key, wire{ fleet.callers[key].head, 0 }, 0);
+		fleet.run(150000);
+		EXPECT_TRUE(fleet.callers[key].open);
+	}
+	EXPECT_EQ(fleet.logged("JJ525"), 0u);
+}
+
 TEST(Load, ALaterCopyTakesIdleSlotsOnly)
 {
 	desk_fleet fleet(15, 1);
--- a/tests/relay_fake.h
+++ b/tests/relay_fake.h
@@ -213,6 +213,11 @@
 		snprintf(row.name, sizeof(row.name), "%s", data_centre);
 		return row;
 	}
+	static uint32_t ip_of(const std::string &name)
+	{
+		return 0x0a000000 |
+		       (uint32_t)(rnk_name_id(name.c_str()) & 0xffffff);
+	}
 	void member(const std::string &name, Jj__Role role,
 		    const std::string &service, const std::string &centre,
 		    Jj__Phase phase, Jj__Liveness liveness)
@@ -227,7 +232,7 @@
 		msg.role = role;
 		msg.service = (char *)service.c_str();
 		msg.data_centre = (char *)centre.c_str();
-		msg.ip = 0x0a000001;
+		msg.ip = ip_of(name);
 		msg.data_port = 1;
 		msg.incarnation = 1;
 		msg.version = held ? held->version + 1 : 1;
@@ -428,20 +433,19 @@
 			a->fleet->agent_gets(id, packed);
 		});
 	}
-	static void on_to_process(void *ctx, void *, uint32_t, uint16_t port,
+	static void on_to_process(void *ctx, void *, uint32_t ip, uint16_t,
 				  Jj__Envelope *env)
 	{
-		/* All share an address: whoever the flow concerns listens. */
 		auto *a = (relay_agent *)ctx;
 		std::vector<uint8_t> packed(
 			jj__holdings__get_packed_size(env->holdings));
 
-		(void)port;
 		if (a->fleet->lose_notices)
 			return;
 		jj__holdings__pack(env->holdings, packed.data());
-		a->fleet->at(a->fleet->delay_us,
-			     [a, packed] { a->fleet->all_hear(*a, packed); });
+		a->fleet->at(a->fleet->delay_us, [a, ip, packed] {
+			a->fleet->process_hears(ip, packed);
+		});
 	}
 	static void on_control(void *ctx, void *, const struct viw_agent *to,
 			       Jj__Envelope *env)
@@ -481,19 +485,19 @@
 		}
 		jj__packet__free_unpacked(packet, NULL);
 	}
-	void all_hear(relay_agent &from, const std::vector<uint8_t> &packed)
+	void process_hears(uint32_t ip, const std::vector<uint8_t> &packed)
 	{
 		Jj__Holdings *said = jj__holdings__unpack(NULL, packed.size(),
 							  packed.data());
 
 		for (auto &b : balancers)
-			for (size_t i = 0; i < said->n_items; i++)
+			for (size_t i = 0;
+			     ip_of(b->name) == ip && i < said->n_items; i++)
 				rly_learn(b->core.get(), b->view.get(),
 					  said->items[i]->flow,
 					  said->items[i]->holder, now / 1000);
 		for (auto &a : agents) {
-			if (a.get() == &from || !a->alive ||
-			    a->service != from.service)
+			if (ip_of(a->name) != ip || !a->alive)
 				continue;
 			flw_call call = call_of(*a);
 			flw_on_holdings(&call, said);
@@ -623,7 +627,7 @@
 		packet.caller_ip = c.head.caller_ip;
 		packet.caller_port = c.head.caller_port;
 		packet.via_id = rnk_name_id(b.name.c_str());
-		packet.via_ip = 1;
+		packet.via_ip = ip_of(b.name);
 		packet.via_port = 1;
 		packet.to_agent = choice.agent->id;
 		packet.data.data = (uint8_t *)&w;
@@ -644,6 +648,8 @@
 		packet.flow = key;
 		packet.mode = mode;
 		packet.via_id = rnk_name_id(balancers[0]->name.c_str());
+		packet.via_ip = ip_of(balancers[0]->name);
+		packet.via_port = 1;
 		packet.data.data = (uint8_t *)&w;
 		packet.data.len = sizeof(w);
 		flw_call call = call_of(*agents[number]);
