An opening that was passed back or waited elsewhere is not placed twice

(2) It waits at the chosen agent, which then places it as if it were the first to do so; the answer is told there, not at the home. Now only who placed it first watches, and a flow that is open here is not placed again. Ruled out: lost notices, late answers (no JJ522 for them).

--- a/src/core/flow_place.c
+++ b/src/core/flow_place.c
@@ -399,9 +399,12 @@
 	if (peer) {
 		met_add(work->call->flw->desc.met, MET_FLOWS_PLACED, 1);
 		remember(work, peer->id);
-		flw_keep_chosen(work, peer->id);
 		packet = *work->packet;
-		packet.origin = work->me->id;
+		/* Who placed it first is told of the answer, and watches. */
+		if (!packet.origin) {
+			packet.origin = work->me->id;
+			flw_keep_chosen(work, peer->id);
+		}
 		chosen.packet = &packet;
 		flw_forward(&chosen, peer, FLW_PLACED);
 		return 1;
--- a/src/core/flow_wait.c
+++ b/src/core/flow_wait.c
@@ -210,8 +210,9 @@
 		return;
 	pthread_mutex_lock(&work.shard->lock);
 	e = flw_exception(work.shard, waiting->key);
+	/* It may have come back, and be open here. */
 	if (e && e->holder == waiting->chosen && !e->first_known &&
-	    !e->refused) {
+	    !e->refused && !flw_find(work.shard, waiting->key)) {
 		log_put(call->flw->desc.log, EV_PEER_SILENT,
 			"flow=%08x:%u>%08x:%u agent=%016llx",
 			work.head.caller_ip, work.head.caller_port,
--- a/tests/flow_test.cc
+++ b/tests/flow_test.cc
@@ -634,6 +634,83 @@
 	EXPECT_EQ(fleet.logged("JJ525"), 0u);
 }
 
+/* Fills a target with work that takes so long. */
+static void keep_busy(desk_fleet &fleet, size_t number, uint32_t first,
+		      uint64_t work_us)
+{
+	fleet.agents[number]->target->work_us = work_us;
+	for (uint32_t i = first; i < first + 6; i++) {
+		uint64_t key = fleet.caller(i);
+
+		fleet.give(number, key, wire{ fleet.callers[key].head, 0 }, 1);
+		fleet.run(4000);
+		wire request = { fleet.callers[key].head, 0 };
+		request.head.payload = 50;
+		fleet.give(number, key, request, 0);
+	}
+}
+
+/* A caller whose flow's first home is the given agent. */
+static uint64_t caller_of_home(desk_fleet &fleet, const char *name,
+			       uint32_t number)
+{
+	const struct viw_service *service =
+		viw_service(fleet.view.get(), rnk_name_id("desk"));
+	uint64_t key;
+
+	do
+		key = fleet.caller(number++);
+	while (viw_home(fleet.view.get(), service, key)->id !=
+	       rnk_name_id(name));
+	return key;
+}
+
+static size_t given(const desk_fleet &fleet)
+{
+	size_t sum = 0;
+
+	for (auto &agent : fleet.agents)
+		sum += agent->target->opened_at.size();
+	return sum;
+}
+
+/* Who was chosen passes it back to the home, which opens it. */
+TEST(Load, AnOpeningThatComesBackIsNotPlacedTwice)
+{
+	desk_fleet fleet(20, 2);
+	uint64_t other = fleet.caller(1);
+
+	fleet.give(0, other, wire{ fleet.callers[other].head, 0 }, 1);
+	fleet.run(30000);
+	fleet.report(*fleet.agents[1], true); /* the home knows it as idle */
+	uint64_t key = fleet.caller(50);
+	fleet.give(0, key, wire{ fleet.callers[key].head, 0 }, 0);
+	fleet.run(200000);
+	EXPECT_TRUE(fleet.callers[key].open);
+	EXPECT_EQ(fleet.logged("JJ525"), 0u);
+	EXPECT_EQ(given(fleet), 2u);
+}
+
+/* It waited at the chosen agent, which gave it to a third. */
+TEST(Load, AnOpeningThatWaitedElsewhereIsNotPlacedTwice)
+{
+	desk_fleet fleet(21, 3);
+	tbl_row route = fleet.route_row("r", "desk", "198.18.0.1:443");
+
+	route.aim_ms = 900;
+	fleet.rows("config", { fleet.service_row("desk"), route });
+	keep_busy(fleet, 0, 100, 3 * SECOND);
+	keep_busy(fleet, 2, 200, 90000);
+	fleet.run(30000);
+	fleet.report(*fleet.agents[1], true); /* the home knows it as idle */
+	uint64_t key = caller_of_home(fleet, "agent-2", 300);
+	fleet.give(0, key, wire{ fleet.callers[key].head, 0 }, 0);
+	fleet.run(300000);
+	EXPECT_EQ(fleet.callers[key].opened_at, "agent-2");
+	EXPECT_EQ(fleet.logged("JJ525"), 0u);
+	EXPECT_EQ(given(fleet), 13u);
+}
+
 TEST(Load, ALaterCopyTakesIdleSlotsOnly)
 {
 	desk_fleet fleet(15, 1);
