Two processes a data centre watch the platform; the fleet tells the others

Weighed: a watch by balancers only (a zone with one balancer would hang on it); a lease on the role (an election for nothing). Now the first two live members of a data centre by hash watch, as jujubed's balancers do for the fleet's own table; the rule is one function. The others hear of a change by revision, as they did before while the store refused them. With each renewal they read a list that may be old, in case that all watchers are cut off.

A table revision is logged when it is in force, also if no row differs.

--- a/include/jujube/log.h
+++ b/include/jujube/log.h
@@ -68,6 +68,8 @@
 	X(321, LOG_WARN_, LEASE_LOST, "entry on the platform was lost")        \
 	X(322, LOG_WARN_, HISTORY_LOST, "platform dropped its history")        \
 	X(323, LOG_WARN_, ITEM_REFUSED, "item of the platform refused")        \
+	X(324, LOG_INFO_, WATCHING,                                            \
+	  "watches the platform, or leaves it to others")                      \
 	X(510, LOG_INFO_, HANDED_OVER, "flows and ledger handed over")         \
 	X(511, LOG_INFO_, TAKEN_OVER, "flows and ledger taken back")           \
 	X(512, LOG_WARN_, HANDOVER_FAILED, "flows and ledger not handed over")
--- a/src/io/conf.c
+++ b/src/io/conf.c
@@ -36,31 +36,6 @@
 
 /* -- watching ------------------------------------------------------------ */
 
-/* Whether this process is among the first of its data centre. */
-static int should_watch(struct cnf *cnf)
-{
-	struct mbr *mbr = &cnf->nod->mbr;
-	const struct mbr_member *self;
-	uint64_t own;
-	int ahead = 0;
-	uint32_t i;
-
-	pthread_mutex_lock(&cnf->nod->lock);
-	self = &mbr->members[0];
-	own = rnk_hash(&self->id, sizeof(self->id));
-	for (i = 1; i < mbr->count; i++) {
-		const struct mbr_member *member = &mbr->members[i];
-
-		if (mbr_live(member) &&
-		    member->role == JJ__ROLE__ROLE_BALANCER &&
-		    !strcmp(member->data_centre, self->data_centre) &&
-		    rnk_hash(&member->id, sizeof(member->id)) < own)
-			ahead++;
-	}
-	pthread_mutex_unlock(&cnf->nod->lock);
-	return ahead < CNF_WATCHERS;
-}
-
 static void ask_restore(struct cnf *cnf)
 {
 	pthread_mutex_lock(&cnf->lock);
@@ -128,7 +103,7 @@
 		    &cnf->stopping) != JJ_OK)
 		abort();
 	while (!cnf->stopping) {
-		cnf->watching = should_watch(cnf);
+		cnf->watching = nod_ranks_first(cnf->nod, 1, CNF_WATCHERS);
 		if (cnf->watching) {
 			watch_once(cnf, &kv, &after);
 		} else {
--- a/src/io/node.c
+++ b/src/io/node.c
@@ -127,11 +127,10 @@
 	nod->revision = nod->tbl.revision;
 	mbr_set_revision(&nod->mbr, nod->tbl.revision);
 	nod->dirty = 1;
-	if (changed)
-		log_put(&nod->desc.log->sink, EV_TABLE_APPLIED,
-			"revision=%llu before=%llu changed=%u rows=%u",
-			(unsigned long long)nod->tbl.revision,
-			(unsigned long long)before, changed, nod->tbl.count);
+	log_put(&nod->desc.log->sink, EV_TABLE_APPLIED,
+		"revision=%llu before=%llu changed=%u rows=%u",
+		(unsigned long long)nod->tbl.revision,
+		(unsigned long long)before, changed, nod->tbl.count);
 }
 
 void nod_replace_rows(struct nod *nod, const char *source,
@@ -177,6 +176,28 @@
 	pthread_mutex_unlock(&nod->lock);
 }
 
+int nod_ranks_first(struct nod *nod, int same_role, uint32_t most)
+{
+	const struct mbr *mbr = &nod->mbr;
+	const struct mbr_member *self = &mbr->members[0];
+	uint64_t own = rnk_hash(&self->id, sizeof(self->id));
+	uint32_t ahead = 0;
+	uint32_t i;
+
+	pthread_mutex_lock(&nod->lock);
+	for (i = 1; i < mbr->count && ahead < most; i++) {
+		const struct mbr_member *member = &mbr->members[i];
+
+		if (mbr_live(member) &&
+		    (!same_role || member->role == self->role) &&
+		    !strcmp(member->data_centre, self->data_centre) &&
+		    rnk_hash(&member->id, sizeof(member->id)) < own)
+			ahead++;
+	}
+	pthread_mutex_unlock(&nod->lock);
+	return ahead < most;
+}
+
 Jj__Member *nod_own_record(struct nod *nod)
 {
 	Jj__Member msg;
--- a/src/io/node.h
+++ b/src/io/node.h
@@ -166,6 +166,13 @@
 		      uint32_t count, uint64_t revision);
 void nod_advance_table(struct nod *nod, uint64_t revision);
 
+/*
+ * Whether this process is among the first of its data centre, by hash over the
+ * live members (same_role: of its role only). Where views differ a few more
+ * believe it of themselves; nobody has to agree.
+ */
+int nod_ranks_first(struct nod *nod, int same_role, uint32_t most);
+
 /* This process's member record, on the heap; null: no memory. */
 Jj__Member *nod_own_record(struct nod *nod);
 
--- a/src/io/registry.c
+++ b/src/io/registry.c
@@ -36,7 +36,7 @@
 
 /* All pages of a prefix; as_of is that of the first: later ones may be newer.
  */
-static enum reg_status list_all(struct reg *reg, const char *prefix,
+static enum reg_status list_all(struct reg *reg, const char *prefix, int stale,
 				struct reg_items *out)
 {
 	const struct reg_store *store = &reg->desc.store;
@@ -47,7 +47,7 @@
 	for (page = 0; page < REG_PAGES; page++) {
 		uint64_t as_of = out->as_of;
 		enum reg_status status =
-			store->list(store->ctx, prefix, after, out);
+			store->list(store->ctx, prefix, after, stale, out);
 
 		if (page)
 			out->as_of = as_of;
@@ -142,7 +142,8 @@
 static enum reg_status meet_members(struct reg *reg)
 {
 	struct reg_items items;
-	enum reg_status status = list_all(reg, reg->desc.store.members, &items);
+	enum reg_status status =
+		list_all(reg, reg->desc.store.members, 0, &items);
 	size_t i;
 
 	for (i = 0; status == REG_OK && i < items.count; i++) {
@@ -158,8 +159,10 @@
 	reg_items_free(&items);
 	if (status == REG_OK)
 		reg->step = reg->step == REG_LOOK ? REG_ENTER : REG_MEMBER;
-	if (reg->step == REG_MEMBER)
+	if (reg->step == REG_MEMBER) {
 		reg->nod->joined = 1;
+		reg->settled_at = net_now_ms() + REG_SETTLE_MS;
+	}
 	return status;
 }
 
@@ -168,8 +171,10 @@
 	const struct reg_store *store = &reg->desc.store;
 	enum reg_status status = store->renew(store->ctx, reg->lease);
 
-	if (status == REG_OK)
+	if (status == REG_OK) {
 		reg->renew_at = net_now_ms() + reg->desc.lease_ms / 2;
+		reg->glance_due = !reg->watching;
+	}
 	if (status != REG_ABSENT)
 		return status;
 	log_put(reg->desc.log, EV_LEASE_LOST, "lease=%llu",
@@ -211,11 +216,12 @@
 		reg->as_of = items->as_of;
 }
 
-static enum reg_status read_table(struct reg *reg)
+static enum reg_status read_table(struct reg *reg, int stale)
 {
 	const char *sources[REG_SOURCES];
 	struct reg_items items;
-	enum reg_status status = list_all(reg, reg->desc.store.table, &items);
+	enum reg_status status =
+		list_all(reg, reg->desc.store.table, stale, &items);
 	size_t i;
 
 	if (status == REG_OK && items.count > REG_SOURCES) {
@@ -261,25 +267,50 @@
 	log_put(reg->desc.log, EV_HISTORY_LOST, "as_of=%llu",
 		(unsigned long long)reg->as_of);
 	before = reg->as_of;
-	status = read_table(reg);
+	status = read_table(reg, 0);
 	/* A store that has dropped even this: not again at once. */
 	return status == REG_OK && reg->as_of == before ? REG_REFUSED : status;
 }
 
 /* -- thread -------------------------------------------------------------- */
 
+static void choose_watcher(struct reg *reg)
+{
+	int watching;
+
+	if (reg->step != REG_MEMBER || net_now_ms() < reg->settled_at)
+		return;
+	watching = nod_ranks_first(reg->nod, 0, REG_WATCHERS);
+	if (watching == reg->watching)
+		return;
+	reg->watching = watching;
+	log_put(reg->desc.log, EV_WATCHING, "watching=%d as_of=%llu others=%u",
+		watching, (unsigned long long)reg->as_of,
+		(unsigned)reg->nod->others);
+}
+
+/* Whether no call is due: others watch the operators' items. */
+static int may_rest(const struct reg *reg)
+{
+	return reg->as_of && reg->step == REG_MEMBER && !reg->watching &&
+	       !reg->glance_due && net_now_ms() < reg->renew_at;
+}
+
 /* The most urgent call that is due. */
 static enum reg_status next_call(struct reg *reg)
 {
 	if (!reg->as_of)
-		return read_table(reg);
+		return read_table(reg, 0);
 	if (reg->step == REG_ENTER)
 		return enter(reg);
 	if (reg->step != REG_MEMBER)
 		return meet_members(reg);
 	if (net_now_ms() >= reg->renew_at)
 		return renew(reg);
-	return watch_table(reg);
+	if (reg->watching)
+		return watch_table(reg);
+	reg->glance_due = 0;
+	return read_table(reg, 1);
 }
 
 static void *run_registry(void *arg)
@@ -287,7 +318,10 @@
 	struct reg *reg = arg;
 
 	while (!reg->stopping) {
-		if (next_call(reg) == REG_OK)
+		choose_watcher(reg);
+		if (may_rest(reg))
+			sleep_ms(REG_REST_MS);
+		else if (next_call(reg) == REG_OK)
 			note_answer(reg);
 		else if (!reg->stopping)
 			back_off(reg);
--- a/src/io/registry.h
+++ b/src/io/registry.h
@@ -7,13 +7,17 @@
  *  - enters this process under a lease and renews it; an entry that was taken
  *    away is written again. Entries only serve processes that start: who is
  *    alive is for the membership to say.
- *  - reads the operators' items once and then waits on one watch. Rows are
+ *  - reads the operators' items once. Then the REG_WATCHERS processes of each
+ *    data centre that rank first among its live members wait on a watch, and
+ *    the fleet tells the others by revision; there is no election, and a
+ *    watcher that dies is followed as soon as it is thought dead. Rows are
  *    replaced item by item; a list after a gap removes what is not there any
  *    more. Revisions only rise: an older answer changes nothing.
  *
- * What it costs: a call a watch_s, a renewal in half of the lease, and one
- * call a change. While the store is away the fleet tells itself of changes by
- * revision, and calls are retried after an exponential delay with jitter.
+ * What it costs: a renewal in half of the lease and with it, for those who do
+ * not watch, a list that may be seconds old, in case that all watchers are
+ * cut off from the store; for a watcher a call a watch_s and one a change.
+ * Calls are retried after an exponential delay with jitter.
  */
 #ifndef JUJUBE_REGISTRY_H
 #define JUJUBE_REGISTRY_H
@@ -25,6 +29,10 @@
 #define REG_RETRY_START_MS 400 /* longest delay while there is no table */
 #define REG_PAGES 64 /* of one list */
 #define REG_SOURCES 256 /* items that operators may have written */
+#define REG_WATCHERS 2 /* a data centre: one may be frozen or refused */
+/* New members have heard of each other by then; all would watch before. */
+#define REG_SETTLE_MS 1000
+#define REG_REST_MS 100 /* what is due is looked for so often */
 
 enum reg_status {
 	REG_OK,
@@ -52,8 +60,10 @@
 
 /* The store's calls; ctx belongs to one thread. */
 struct reg_store {
+	/* stale: the answer may be seconds old, and is cheaper. */
 	enum reg_status (*list)(void *ctx, const char *prefix,
-				const char *after, struct reg_items *out);
+				const char *after, int stale,
+				struct reg_items *out);
 	/* Waits for changes after a revision; REG_ABSENT: history dropped. */
 	enum reg_status (*watch)(void *ctx, const char *prefix, uint64_t after,
 				 uint32_t wait_ms, struct reg_items *out);
@@ -91,6 +101,9 @@
 	uint64_t renew_at; /* ms */
 	enum reg_step step; /* in becoming a member */
 	uint64_t as_of; /* operators' items are known up to it, 0: not yet */
+	uint64_t settled_at; /* ms: watchers are chosen from then on */
+	int watching;
+	int glance_due; /* a list that may be old */
 	uint32_t delay_ms;
 	uint32_t failures; /* in a row */
 };
--- a/tests/relay.sh
+++ b/tests/relay.sh
@@ -117,6 +117,20 @@
 	done
 }
 
+# Processes that wait for changes at the store, by their last word on it.
+watching() {
+	local name
+	for name in balancer-1 balancer-2 agent-{1..6}; do
+		grep JJ324 "$dir/$name.log" | tail -n 1 |
+			grep -q 'watching=1' && echo "$name"
+	done | paste -sd' '
+}
+
+# follows NAME REVISION: whether that table is in force there.
+follows() {
+	grep -q "JJ300.* revision=$2 " "$dir/$1.log"
+}
+
 # world SECONDS PER_SECOND: the load, in the background.
 world() {
 	"$build/tests/standin-world" "$net" "$1" "$2" 2 1:4:desk 5:2:vault \
@@ -190,6 +204,8 @@
 	grep -q "JJ520" "$dir/agent-2.log" || fail "zone-0 was given none"
 	;;
 store_outage) # down, changed meanwhile, history dropped, back
+	sleep 2
+	[ -n "$(watching)" ] || fail "nobody watches"
 	world 7 100
 	sleep 1
 	fault down
@@ -199,8 +215,10 @@
 	fault compact
 	fault up
 	result 0
-	grep -q "JJ310" "$dir/balancer-1.log" || fail "outage not logged"
-	grep -q "JJ311" "$dir/balancer-1.log" || fail "return not logged"
+	for name in $(watching); do # the others need not call it meanwhile
+		grep -q "JJ310" "$dir/$name.log" || fail "outage not logged"
+		grep -q "JJ311" "$dir/$name.log" || fail "return not logged"
+	done
 	sleep 1
 	before=$(grep -c JJ520 "$dir/agent-1.log")
 	world 3 100
@@ -221,6 +239,32 @@
 	start_agents
 	result 120
 	;;
+watchers) # all frozen at once: the others notice, and follow the change
+	sleep 3
+	watchers=$(watching)
+	[ "$(echo $watchers | wc -w)" = 4 ] || fail "watchers: $watchers"
+	for name in $watchers; do kill -STOP "${pids[$name]}"; done
+	configure 9
+	operator POST op/evacuate/zone-1 '{}'
+	revision=$(curl -s --noproxy '*' \
+		"http://$store/kv-range?prefix=op/evacuate/" |
+		sed -n 's/.*"revision": *\([0-9]*\).*/\1/p')
+	[ -n "$revision" ] || fail "no revision"
+	sleep 3
+	for name in balancer-1 balancer-2 agent-{1..6}; do
+		case " $watchers " in *" $name "*) continue ;; esac
+		follows "$name" "$revision" || fail "$name is behind"
+	done
+	for name in $watchers; do kill -CONT "${pids[$name]}"; done
+	sleep 3
+	for name in $watchers; do
+		follows "$name" "$revision" || fail "$name stays behind"
+	done
+	for name in $watchers; do
+		case " $(watching) " in *" $name "*) continue ;; esac
+		fail "$name does not watch again"
+	done
+	;;
 bad_input) # noise at every port; nothing else is touched
 	world 4 100
 	for port in 8172 7735 7720; do
