flow.c in three: search and notices apart; target latency by its name

flow.c had grown to 940 lines: what is done with packets that the target does not hold is now flow_search.c, who is told of flows flow_tell.c; only names changed with the move. aim_ms was the users' word for the target latency.

--- a/gen/jujube.pb-c.c
+++ b/gen/jujube.pb-c.c
@@ -1566,12 +1566,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "aim_ms",
+    "target_latency_ms",
     17,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Jj__Row, aim_ms),
+    offsetof(Jj__Row, target_latency_ms),
     NULL,
     NULL,
     0,             /* flags */
@@ -1580,7 +1580,6 @@
 };
 static const unsigned jj__row__field_indices_by_name[] = {
   3,   /* field[3] = address */
-  16,   /* field[16] = aim_ms */
   13,   /* field[13] = change_id */
   14,   /* field[14] = cold_per_ks */
   7,   /* field[7] = cold_slots */
@@ -1592,6 +1591,7 @@
   2,   /* field[2] = service */
   5,   /* field[5] = slots */
   8,   /* field[8] = state */
+  16,   /* field[16] = target_latency_ms */
   4,   /* field[4] = weight */
   11,   /* field[11] = when */
   10,   /* field[10] = who */
--- a/gen/jujube.pb-c.h
+++ b/gen/jujube.pb-c.h
@@ -195,7 +195,7 @@
   /*
    * route rows: callers expect an answer within it,
    */
-  uint32_t aim_ms;
+  uint32_t target_latency_ms;
 };
 #define JJ__ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jj__row__descriptor) \
--- a/include/jujube/table.h
+++ b/include/jujube/table.h
@@ -35,7 +35,7 @@
 	uint32_t cold_slots;
 	uint32_t cold_per_ks;
 	uint32_t flow_idle_ms;
-	uint32_t aim_ms;
+	uint32_t target_latency_ms;
 	Jj__RowState state;
 	uint64_t revision;
 	char who[TBL_NAME_MAX];
--- a/include/jujube/view.h
+++ b/include/jujube/view.h
@@ -41,7 +41,7 @@
 	uint16_t port;
 	uint8_t former; /* flows opened earlier may still be there */
 	uint32_t weight;
-	uint32_t aim_ms; /* see table.h, 0: not given */
+	uint32_t target_latency_ms; /* see table.h, 0: not given */
 	uint32_t service; /* position in services */
 };
 
@@ -134,7 +134,8 @@
 		 const struct viw_service *service, int former);
 
 /* Time that callers of an address expect an answer in, 0: not given. */
-uint32_t viw_aim_ms(const struct viw *view, uint32_t ip, uint16_t port);
+uint32_t viw_target_latency_ms(const struct viw *view, uint32_t ip,
+			       uint16_t port);
 
 /* The next service after previous (null: first) that a route led to. */
 const struct viw_service *viw_former(const struct viw *view, uint32_t ip,
--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -77,8 +77,8 @@
 mechanism R2 $core/flow_target.c 's/^	if (target->said.leaving)$/	if (0)/' flow 'Opening.AvoidsALeaving*'
 mechanism R3 $core/flow_target.c 's/me->out || me->draining/me->out/' flow 'Opening.AvoidsAnEvacuated*'
 mechanism R4 $core/flow_target.c 's/return recent_openings(target, now) < limit;/return 1;/' flow 'Opening.GivesACold*'
-mechanism R5 $core/flow.c 's/return work->call->flw->settled .*/return/; s/^	       next_service(work, NULL) == work->service &&$/	       1 \&\&/; s/^	       !work->service->absent && work/	       work/' flow 'Flows.AreNotResetInDoubt'
-mechanism R6 $core/flow.c 's/return ack - first <= FLW_SPAN;/return 1;/' flow 'Seeds/FlowSeeds.FindTheirTarget*'
+mechanism R5 $core/flow_search.c 's/return work->call->flw->settled .*/return/; s/^	       next_service(work, NULL) == work->service &&$/	       1 \&\&/; s/^	       !work->service->absent && work/	       work/' flow 'Flows.AreNotResetInDoubt'
+mechanism R6 $core/flow_search.c 's/return ack - first <= FLW_SPAN;/return 1;/' flow 'Seeds/FlowSeeds.FindTheirTarget*'
 mechanism R7 $core/flow.c 's/flow = adopt(call, shard, key, &head);/;/' flow 'Seeds/FlowSeeds.OpenByAnAnswer*'
 mechanism R8 $core/table.c 's/held->revision >= revision || same_content/same_content/' table 'sourced.AnOlder*'
 mechanism R9 $core/flow_wait.c 's/waiting->since > next->since/waiting->since < next->since/' flow 'Load.AFresh*'
@@ -87,9 +87,9 @@
 mechanism R12 $core/flow_target.c 's/^	if (is_gone(flw, now))$/	if (0)/' flow 'Reports.MissingOnes*'
 mechanism R13 $core/member_probe.c 's/if (now < mbr->heals_until)/if (0)/' member 'Sizes/Heal.*'
 mechanism R14 $core/relay.c 's/id ? viw_holder(view, id) : NULL/id ? viw_agent(view, id) : NULL/' flow 'Flows.ReachAHolder*'
-mechanism R14 $core/flow.c 's/holder = viw_holder(view, e->holder)/holder = viw_agent(view, e->holder)/' flow 'Flows.ReachAHolder*'
-mechanism R15 $core/flow.c 's/if (origin \&\& origin != home/if (0 \&\& origin != home/' flow 'Load.AnAnswerIsTold*'
+mechanism R14 $core/flow_search.c 's/holder = viw_holder(view, e->holder)/holder = viw_agent(view, e->holder)/' flow 'Flows.ReachAHolder*'
+mechanism R15 $core/flow_tell.c 's/if (origin \&\& origin != home/if (0 \&\& origin != home/' flow 'Load.AnAnswerIsTold*'
 mechanism R16 $core/flow_place.c 's/if (!work->packet->doubt \&\& /if (/' flow 'Seeds/FlowSeeds.OpenByAnAnswer*'
-mechanism R17 $core/flow.c 's/^	if (search_former(work, visits))$/	if (0)/' flow 'Flows.StayWhenTheirRouteMoves'
+mechanism R17 $core/flow_search.c 's/^	if (search_former(work, visits))$/	if (0)/' flow 'Flows.StayWhenTheirRouteMoves'
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
--- a/src/core/flow.c
+++ b/src/core/flow.c
@@ -121,363 +121,6 @@
 	flw_reset_caller(call, &head, flow->caller_ack);
 }
 
-static void fill_holding(Jj__Holding *item, const struct flw *flw,
-			 const struct flw_flow *flow)
-{
-	jj__holding__init(item);
-	item->flow = flow->key;
-	item->holder = flw->desc.id;
-	item->first = flow->first;
-	item->known = flow->first_known;
-}
-
-static void tell(const struct flw_call *call, uint32_t ip, uint16_t port,
-		 Jj__Holding **items, size_t count)
-{
-	struct flw *flw = call->flw;
-	Jj__Envelope env = JJ__ENVELOPE__INIT;
-	Jj__Holdings holdings = JJ__HOLDINGS__INIT;
-
-	holdings.items = items;
-	holdings.n_items = count;
-	env.body_case = JJ__ENVELOPE__BODY_HOLDINGS;
-	env.holdings = &holdings;
-	flw->desc.hooks.to_process(flw->desc.hooks.ctx, call->thread, ip, port,
-				   &env);
-}
-
-/*
- * The home, and the agent that placed the flow here: balancers that avoid a
- * home, or know other agents, send openings to one that ranks lower by this
- * agent's view.
- */
-static void tell_placers(const struct flw_call *call, struct flw_flow *flow)
-{
-	struct flw *flw = call->flw;
-	const struct viw_service *service =
-		viw_service(call->view, flw->service);
-	const struct viw_agent *home =
-		service ? viw_home(call->view, service, flow->key) : NULL;
-	const struct viw_agent *origin =
-		flow->origin ? viw_agent(call->view, flow->origin) : NULL;
-	Jj__Holding item;
-	Jj__Holding *items = &item;
-
-	fill_holding(&item, flw, flow);
-	if (home && home->id != flw->desc.id)
-		tell(call, home->ip, home->data_port, &items, 1);
-	if (origin && origin != home && origin->id != flw->desc.id)
-		tell(call, origin->ip, origin->data_port, &items, 1);
-}
-
-/* Whom it was given to has turned it down, or who that passed it on to. */
-static void note_refusal(struct flw_shard *shard, uint64_t key)
-{
-	struct flw_exception *e = flw_exception(shard, key);
-
-	if (e && !e->first_known)
-		e->refused = 1;
-}
-
-void flw_tell_refusal(const struct flw_work *work)
-{
-	const struct viw_agent *origin =
-		viw_agent(work->call->view, work->packet->origin);
-	Jj__Holding item = JJ__HOLDING__INIT;
-	Jj__Holding *items = &item;
-
-	item.flow = work->packet->flow;
-	item.holder = work->me->id;
-	item.closed = 1;
-	if (origin == work->me)
-		note_refusal(work->shard, item.flow);
-	else if (origin)
-		tell(work->call, origin->ip, origin->data_port, &items, 1);
-}
-
-/* The balancer that the flow's packets come through, once each. */
-static void tell_balancer(const struct flw_call *call, struct flw_flow *flow)
-{
-	Jj__Holding item;
-	Jj__Holding *items = &item;
-
-	if (!flow->via_id || flow->told_via == flow->via_id)
-		return;
-	flow->told_via = flow->via_id;
-	fill_holding(&item, call->flw, flow);
-	tell(call, flow->via_ip, flow->via_port, &items, 1);
-}
-
-/* -- packets of flows that the target does not hold ---------------------- */
-
-static int fits(uint32_t ack, uint32_t first)
-{
-	return ack - first <= FLW_SPAN;
-}
-
-/* Another agent that is said to hold the packet's flow, or null. */
-static const struct viw_agent *known_holder(const struct flw_work *work)
-{
-	const struct viw *view = work->call->view;
-	const struct flw_exception *e =
-		flw_exception(work->shard, work->packet->flow);
-	const struct viw_agent *holder;
-
-	if (!e || !e->holder || e->holder == work->me->id)
-		return NULL;
-	if (!e->first_known)
-		return viw_agent(view, e->holder);
-	holder = viw_holder(view, e->holder);
-	return !work->head.acknowledges || fits(work->head.ack, e->first) ?
-		       holder :
-		       NULL;
-}
-
-/* Agents that a searching packet has visited, this one included. */
-struct visits {
-	uint64_t ids[FLW_SEARCH_MAX];
-	uint32_t count;
-	uint32_t searched; /* services of the address, before this one */
-	int doubt; /* some agent's target may hold the flow nevertheless */
-};
-
-static int has_visited(const struct visits *visits, uint64_t id)
-{
-	uint32_t i;
-
-	for (i = 0; i < visits->count; i++)
-		if (visits->ids[i] == id)
-			return 1;
-	return 0;
-}
-
-static void visits_of(const struct flw_work *work, struct visits *visits)
-{
-	const Jj__Packet *packet = work->packet;
-	size_t i;
-
-	visits->count = 0;
-	visits->searched = packet->searched;
-	visits->doubt = packet->doubt;
-	if (packet->mode == FLW_SEARCH)
-		for (i = 0; i < packet->n_tried && i + 1 < FLW_SEARCH_MAX; i++)
-			visits->ids[visits->count++] = packet->tried[i];
-	visits->ids[visits->count++] = work->me->id;
-}
-
-static uint32_t save_trial(struct flw *flw, uint64_t key,
-			   const struct visits *visits)
-{
-	struct flw_trial *trial;
-	uint32_t at;
-
-	pthread_mutex_lock(&flw->trial_lock);
-	at = flw->next_trial++ % FLW_TRIALS;
-	trial = &flw->trials[at];
-	trial->key = key;
-	trial->count = visits->count;
-	trial->searched = visits->searched;
-	trial->doubt = (uint8_t)visits->doubt;
-	memcpy(trial->visited, visits->ids,
-	       visits->count * sizeof(*visits->ids));
-	pthread_mutex_unlock(&flw->trial_lock);
-	return at + 1;
-}
-
-static int load_trial(struct flw *flw, uint64_t key, uint32_t mark,
-		      struct visits *visits)
-{
-	const struct flw_trial *trial;
-	int found;
-
-	if (!mark || mark > FLW_TRIALS)
-		return 0;
-	pthread_mutex_lock(&flw->trial_lock);
-	trial = &flw->trials[mark - 1];
-	found = trial->key == key;
-	visits->count = trial->count;
-	visits->searched = trial->searched;
-	visits->doubt = trial->doubt;
-	memcpy(visits->ids, trial->visited,
-	       trial->count * sizeof(*visits->ids));
-	pthread_mutex_unlock(&flw->trial_lock);
-	return found;
-}
-
-/*
- * The target of an agent that was started lately may hold flows that the
- * agent does not know, so their packets are tried there until one comes back.
- * That none did proves nothing: bare acknowledgements are not answered, and a
- * target that was given another copy of the opening may swallow all. Every
- * second packet that asks for an answer therefore goes on searching, in doubt.
- * Returns 1: tried.
- */
-static int try_target(const struct flw_work *work, struct visits *visits)
-{
-	const struct flw_call *call = work->call;
-	struct flw *flw = call->flw;
-	uint64_t key = work->packet->flow;
-	struct flw_exception *known = flw_exception(work->shard, key);
-	struct flw_exception e = { .key = key, .at = call->now };
-	uint8_t buf[FRM_MAX_DATAGRAM];
-
-	if (call->now > flw->started + flw->desc.flow_ttl_s * 1000000ull ||
-	    (known && known->not_here) || work->packet->data.len > sizeof(buf))
-		return 0;
-	if (known)
-		e = *known;
-	e.trials += work->head.payload || work->head.closes;
-	flw_put_exception(work->shard, &e);
-	if (e.trials && e.trials % 2 == 0) {
-		visits->doubt = 1;
-		return 0;
-	}
-	memcpy(buf, work->packet->data.data, work->packet->data.len);
-	flw->desc.codec.set_mark(buf, save_trial(flw, key, visits));
-	met_add(flw->desc.met, MET_TRIED, 1);
-	flw->desc.hooks.to_target(flw->desc.hooks.ctx, buf,
-				  work->packet->data.len);
-	return 1;
-}
-
-/* The next agent of the circle that was not visited, or null. */
-static const struct viw_agent *next_agent(const struct flw_work *work,
-					  const struct visits *visits)
-{
-	const struct viw *view = work->call->view;
-	uint32_t at = (uint32_t)(work->me - view->agents);
-	uint32_t i;
-
-	for (i = 1; i < work->service->count; i++) {
-		at++;
-		if (at == work->service->first + work->service->count)
-			at = work->service->first;
-		if (!has_visited(visits, view->agents[at].id))
-			return &view->agents[at];
-	}
-	return NULL;
-}
-
-/*
- * The service that the flow's address leads or led to, next in the circle of
- * all such services after one; that itself when there is no other.
- */
-static const struct viw_service *next_service(const struct flw_work *work,
-					      const struct viw_service *after)
-{
-	const struct viw *view = work->call->view;
-	const struct viw_service *next = viw_former(
-		view, work->head.service_ip, work->head.service_port, after);
-
-	return next ? next :
-		      viw_former(view, work->head.service_ip,
-				 work->head.service_port, NULL);
-}
-
-/* How many services the flow's address leads or led to. */
-static uint32_t count_services(const struct flw_work *work)
-{
-	const struct viw_service *service = NULL;
-	uint32_t count = 0;
-
-	while ((service = viw_former(work->call->view, work->head.service_ip,
-				     work->head.service_port, service)))
-		count++;
-	return count;
-}
-
-/*
- * A flow stays with its service when its route moves to another. 1: the search
- * goes on there.
- */
-static int search_former(const struct flw_work *work,
-			 const struct visits *visits)
-{
-	const struct viw *view = work->call->view;
-	const struct viw_service *service = work->service;
-	uint32_t left = count_services(work);
-	uint32_t searched = visits->searched + 1;
-
-	for (; searched < left; searched++) {
-		const struct viw_agent *home;
-		Jj__Packet packet = *work->packet;
-		struct flw_work search = *work;
-
-		service = next_service(work, service);
-		home = viw_home(view, service, packet.flow);
-		if (!home || service == work->service)
-			continue;
-		packet.service = service->id;
-		packet.searched = searched;
-		packet.doubt = visits->doubt;
-		packet.n_tried = 0;
-		packet.hops = 0;
-		search.packet = &packet;
-		flw_forward(&search, home, FLW_FIRST);
-		return 1;
-	}
-	return 0;
-}
-
-/* Nobody holds it, as far as all agents that could know. */
-static int search_proves(const struct flw_work *work)
-{
-	return work->call->flw->settled && count_services(work) <= 1 &&
-	       next_service(work, NULL) == work->service &&
-	       !work->service->absent && work->head.acknowledges &&
-	       !work->head.resets;
-}
-
-static void search_on(const struct flw_work *work, const struct visits *visits)
-{
-	struct flw *flw = work->call->flw;
-	const struct viw_agent *next = next_agent(work, visits);
-	Jj__Packet packet = *work->packet;
-	struct flw_work search = *work;
-	int proves;
-
-	packet.tried = (uint64_t *)visits->ids;
-	packet.n_tried = visits->count;
-	packet.doubt = visits->doubt;
-	packet.searched = visits->searched;
-	packet.hops = 0;
-	search.packet = &packet;
-	if (next && visits->count < FLW_SEARCH_MAX) {
-		flw_forward(&search, next, FLW_SEARCH);
-		return;
-	}
-	if (search_former(work, visits))
-		return;
-	proves = !next && !visits->doubt && search_proves(work);
-	met_add(flw->desc.met, MET_UNHELD, 1);
-	log_put(flw->desc.log, EV_FLOW_UNHELD,
-		"flow=%08x:%u>%08x:%u ack=%u visited=%u absent=%u doubt=%d "
-		"reset=%d "
-		"revision=%llu",
-		work->head.caller_ip, work->head.caller_port,
-		work->head.service_ip, work->head.service_port, work->head.ack,
-		visits->count, work->service->absent, visits->doubt, proves,
-		(unsigned long long)work->call->view->revision);
-	if (proves)
-		flw_reset_caller(work->call, &work->head, work->head.ack);
-}
-
-/* flow: of the target, when it answered another copy of the opening, or null */
-static void on_unheld(const struct flw_work *work, const struct flw_flow *flow)
-{
-	const struct viw_agent *holder = known_holder(work);
-	struct visits visits;
-
-	if (holder && work->packet->mode == FLW_FIRST) {
-		met_add(work->call->flw->desc.met, MET_EXCEPTION_HITS, 1);
-		flw_forward(work, holder, FLW_HELD);
-		return;
-	}
-	visits_of(work, &visits);
-	if ((flow && flow->first_known) || !try_target(work, &visits))
-		search_on(work, &visits);
-}
-
 /* -- packets of callers -------------------------------------------------- */
 
 static void note_path(struct flw_flow *flow, const struct flw_work *work)
@@ -495,7 +138,7 @@
 	/* Adopted: the target was seen to hold it, but not its start. */
 	if (!flow->first_known)
 		return flow->state >= FLW_OPEN;
-	return fits(head->ack, flow->first);
+	return flw_fits(head->ack, flow->first);
 }
 
 static void deliver(const struct flw_work *work, struct flw_flow *flow)
@@ -523,7 +166,7 @@
 	met_add(flw->desc.met, MET_DELIVERED, 1);
 	flw->desc.hooks.to_target(flw->desc.hooks.ctx, work->packet->data.data,
 				  work->packet->data.len);
-	tell_balancer(work->call, flow);
+	flw_tell_balancer(work->call, flow);
 }
 
 /* A copy of an opening that the target has, or a new flow on old ports. */
@@ -539,7 +182,7 @@
 	note_path(flow, work);
 	flw->desc.hooks.to_target(flw->desc.hooks.ctx, work->packet->data.data,
 				  work->packet->data.len);
-	tell_balancer(work->call, flow);
+	flw_tell_balancer(work->call, flow);
 	return 1;
 }
 
@@ -623,7 +266,7 @@
 	else if (flow && flow_fits(flow, &work.head))
 		deliver(&work, flow);
 	else
-		on_unheld(&work, flow);
+		flw_on_unheld(&work, flow);
 	pthread_mutex_unlock(&work.shard->lock);
 }
 
@@ -651,7 +294,7 @@
 	flow->service_port = head->service_port;
 	flow->caller_next = head->ack;
 	met_add(call->flw->desc.met, MET_ADOPTED, 1);
-	tell_placers(call, flow);
+	flw_tell_placers(call, flow);
 	return flow;
 }
 
@@ -668,8 +311,8 @@
 		flow->first_known = 1;
 		met_time(flw->desc.met, MET_TIME_OPENING,
 			 call->now - flow->opened);
-		tell_balancer(call, flow);
-		tell_placers(call, flow);
+		flw_tell_balancer(call, flow);
+		flw_tell_placers(call, flow);
 	}
 	if (head->payload && flow->in_hand)
 		met_time(flw->desc.met, MET_TIME_ANSWER,
@@ -689,47 +332,6 @@
 	flw_release(call->flw, shard, flow);
 }
 
-static void note_not_here(struct flw_shard *shard, uint64_t key, uint64_t now)
-{
-	const struct flw_exception *held = flw_exception(shard, key);
-	struct flw_exception e = { .key = key, .at = now };
-
-	if (held)
-		e = *held;
-	e.not_here = 1;
-	flw_put_exception(shard, &e);
-}
-
-/* A trial of an agent that was started lately: the search goes on. */
-static void on_not_held(const struct flw_call *call, struct flw_shard *shard,
-			uint64_t key, const struct flw_packet *head,
-			uint8_t *data, size_t len)
-{
-	struct flw *flw = call->flw;
-	uint32_t mark = flw->desc.codec.mark(data);
-	struct visits visits;
-	Jj__Packet packet = JJ__PACKET__INIT;
-	struct flw_work work = { .call = call,
-				 .shard = shard,
-				 .packet = &packet,
-				 .head = *head,
-				 .service =
-					 viw_service(call->view, flw->service),
-				 .me = viw_agent(call->view, flw->desc.id) };
-
-	if (!work.service || !work.me || !load_trial(flw, key, mark, &visits))
-		return;
-	note_not_here(shard, key, call->now);
-	flw->desc.codec.restore(data);
-	packet.service = flw->service;
-	packet.caller_ip = head->caller_ip;
-	packet.caller_port = head->caller_port;
-	packet.flow = key;
-	packet.data.data = data;
-	packet.data.len = len;
-	search_on(&work, &visits);
-}
-
 static void on_returned(const struct flw_call *call, struct flw_shard *shard,
 			uint64_t key, const struct flw_packet *head,
 			uint8_t *data, size_t len)
@@ -745,7 +347,7 @@
 	if (flow && flow_fits(flow, head))
 		on_forgotten(call, shard, flow);
 	else
-		on_not_held(call, shard, key, head, data, len);
+		flw_on_not_held(call, shard, key, head, data, len);
 }
 
 void flw_from_target(const struct flw_call *call, uint8_t *data, size_t len)
@@ -781,57 +383,6 @@
 				  len);
 }
 
-/* -- what others hold ---------------------------------------------------- */
-
-void flw_on_holdings(const struct flw_call *call, const Jj__Holdings *holdings)
-{
-	struct flw *flw = call->flw;
-	size_t i;
-
-	for (i = 0; i < holdings->n_items; i++) {
-		const Jj__Holding *item = holdings->items[i];
-		struct flw_shard *shard = flw_shard_of(flw, item->flow);
-		struct flw_exception e = { .key = item->flow,
-					   .holder = item->holder,
-					   .first = item->first,
-					   .first_known = item->known,
-					   .at = call->now };
-
-		pthread_mutex_lock(&shard->lock);
-		if (item->closed)
-			note_refusal(shard, item->flow);
-		else
-			flw_put_exception(shard, &e);
-		pthread_mutex_unlock(&shard->lock);
-	}
-}
-
-void flw_view_changed(const struct flw_call *call)
-{
-	struct flw *flw = call->flw;
-	const struct viw_service *service =
-		viw_service(call->view, flw->service);
-	uint32_t i;
-
-	if (!service || service->digest == flw->digest)
-		return;
-	flw->digest = service->digest;
-	for (i = 0; i < FLW_SHARDS; i++) {
-		struct flw_shard *shard = &flw->shards[i];
-		uint32_t j;
-
-		pthread_mutex_lock(&shard->lock);
-		for (j = 0; j < shard->flow_high; j++) {
-			struct flw_flow *flow = &shard->flows[j];
-
-			if (flow->key && (flow->state == FLW_ANSWERED ||
-					  flow->state == FLW_OPEN))
-				tell_placers(call, flow);
-		}
-		pthread_mutex_unlock(&shard->lock);
-	}
-}
-
 /* -- time ---------------------------------------------------------------- */
 
 static uint64_t idle_limit(const struct flw_call *call)
--- a/src/core/flow_internal.h
+++ b/src/core/flow_internal.h
@@ -75,9 +75,25 @@
 /* flow.c */
 void flw_forward(const struct flw_work *work, const struct viw_agent *to,
 		 enum flw_mode mode);
-/* Who placed an opening here need not wait for an answer. */
-void flw_tell_refusal(const struct flw_work *work);
 void flw_reset_caller(const struct flw_call *call,
 		      const struct flw_packet *packet, uint32_t seq);
 
+/* flow_search.c */
+/* Whether a packet acknowledges what the target with that start has sent. */
+int flw_fits(uint32_t ack, uint32_t first);
+/* flow: of the target, when it answered another copy of the opening, or null */
+void flw_on_unheld(const struct flw_work *work, const struct flw_flow *flow);
+/* A trial of an agent that was started lately: the search goes on. */
+void flw_on_not_held(const struct flw_call *call, struct flw_shard *shard,
+		     uint64_t key, const struct flw_packet *head, uint8_t *data,
+		     size_t len);
+
+/* flow_tell.c */
+/* Those who have to know where the flow is: its home, and who placed it. */
+void flw_tell_placers(const struct flw_call *call, struct flw_flow *flow);
+/* The balancer that the flow's packets come through, once each. */
+void flw_tell_balancer(const struct flw_call *call, struct flw_flow *flow);
+/* Who placed an opening here need not wait for an answer. */
+void flw_tell_refusal(const struct flw_work *work);
+
 #endif
--- a/src/core/flow_place.c
+++ b/src/core/flow_place.c
@@ -343,7 +343,7 @@
 	flw_note_opening(flw, call->now);
 	met_add(flw->desc.met, MET_FLOWS_OPENED, 1);
 	log_opening(work, EV_FLOW_OPENED, "via",
-		    work->me->id == packet->to_agent ? "home" : "peer");
+		    packet->mode == FLW_FIRST ? "home" : "peer");
 	flw->desc.hooks.to_target(flw->desc.hooks.ctx, packet->data.data,
 				  packet->data.len);
 	return 1;
--- /dev/null
+++ b/src/core/flow_tell.c
@@ -0,0 +1,138 @@
+/* Who is told which flows this agent's target holds, and what others tell. */
+#include "flow_internal.h"
+
+static void fill_holding(Jj__Holding *item, const struct flw *flw,
+			 const struct flw_flow *flow)
+{
+	jj__holding__init(item);
+	item->flow = flow->key;
+	item->holder = flw->desc.id;
+	item->first = flow->first;
+	item->known = flow->first_known;
+}
+
+static void tell(const struct flw_call *call, uint32_t ip, uint16_t port,
+		 Jj__Holding **items, size_t count)
+{
+	struct flw *flw = call->flw;
+	Jj__Envelope env = JJ__ENVELOPE__INIT;
+	Jj__Holdings holdings = JJ__HOLDINGS__INIT;
+
+	holdings.items = items;
+	holdings.n_items = count;
+	env.body_case = JJ__ENVELOPE__BODY_HOLDINGS;
+	env.holdings = &holdings;
+	flw->desc.hooks.to_process(flw->desc.hooks.ctx, call->thread, ip, port,
+				   &env);
+}
+
+/*
+ * The home, and the agent that placed the flow here: balancers that avoid a
+ * home, or know other agents, send openings to one that ranks lower by this
+ * agent's view.
+ */
+void flw_tell_placers(const struct flw_call *call, struct flw_flow *flow)
+{
+	struct flw *flw = call->flw;
+	const struct viw_service *service =
+		viw_service(call->view, flw->service);
+	const struct viw_agent *home =
+		service ? viw_home(call->view, service, flow->key) : NULL;
+	const struct viw_agent *origin =
+		flow->origin ? viw_agent(call->view, flow->origin) : NULL;
+	Jj__Holding item;
+	Jj__Holding *items = &item;
+
+	fill_holding(&item, flw, flow);
+	if (home && home->id != flw->desc.id)
+		tell(call, home->ip, home->data_port, &items, 1);
+	if (origin && origin != home && origin->id != flw->desc.id)
+		tell(call, origin->ip, origin->data_port, &items, 1);
+}
+
+/* Whom it was given to has turned it down, or who that passed it on to. */
+static void note_refusal(struct flw_shard *shard, uint64_t key)
+{
+	struct flw_exception *e = flw_exception(shard, key);
+
+	if (e && !e->first_known)
+		e->refused = 1;
+}
+
+void flw_tell_refusal(const struct flw_work *work)
+{
+	const struct viw_agent *origin =
+		viw_agent(work->call->view, work->packet->origin);
+	Jj__Holding item = JJ__HOLDING__INIT;
+	Jj__Holding *items = &item;
+
+	item.flow = work->packet->flow;
+	item.holder = work->me->id;
+	item.closed = 1;
+	if (origin == work->me)
+		note_refusal(work->shard, item.flow);
+	else if (origin)
+		tell(work->call, origin->ip, origin->data_port, &items, 1);
+}
+
+/* The balancer that the flow's packets come through, once each. */
+void flw_tell_balancer(const struct flw_call *call, struct flw_flow *flow)
+{
+	Jj__Holding item;
+	Jj__Holding *items = &item;
+
+	if (!flow->via_id || flow->told_via == flow->via_id)
+		return;
+	flow->told_via = flow->via_id;
+	fill_holding(&item, call->flw, flow);
+	tell(call, flow->via_ip, flow->via_port, &items, 1);
+}
+
+void flw_on_holdings(const struct flw_call *call, const Jj__Holdings *holdings)
+{
+	struct flw *flw = call->flw;
+	size_t i;
+
+	for (i = 0; i < holdings->n_items; i++) {
+		const Jj__Holding *item = holdings->items[i];
+		struct flw_shard *shard = flw_shard_of(flw, item->flow);
+		struct flw_exception e = { .key = item->flow,
+					   .holder = item->holder,
+					   .first = item->first,
+					   .first_known = item->known,
+					   .at = call->now };
+
+		pthread_mutex_lock(&shard->lock);
+		if (item->closed)
+			note_refusal(shard, item->flow);
+		else
+			flw_put_exception(shard, &e);
+		pthread_mutex_unlock(&shard->lock);
+	}
+}
+
+void flw_view_changed(const struct flw_call *call)
+{
+	struct flw *flw = call->flw;
+	const struct viw_service *service =
+		viw_service(call->view, flw->service);
+	uint32_t i;
+
+	if (!service || service->digest == flw->digest)
+		return;
+	flw->digest = service->digest;
+	for (i = 0; i < FLW_SHARDS; i++) {
+		struct flw_shard *shard = &flw->shards[i];
+		uint32_t j;
+
+		pthread_mutex_lock(&shard->lock);
+		for (j = 0; j < shard->flow_high; j++) {
+			struct flw_flow *flow = &shard->flows[j];
+
+			if (flow->key && (flow->state == FLW_ANSWERED ||
+					  flow->state == FLW_OPEN))
+				flw_tell_placers(call, flow);
+		}
+		pthread_mutex_unlock(&shard->lock);
+	}
+}
--- a/src/core/flow_wait.c
+++ b/src/core/flow_wait.c
@@ -15,10 +15,13 @@
 
 static uint64_t longest_wait(const struct flw_work *work)
 {
-	uint32_t aim_ms = viw_aim_ms(work->call->view, work->head.service_ip,
-				     work->head.service_port);
+	uint32_t target_latency_ms =
+		viw_target_latency_ms(work->call->view, work->head.service_ip,
+				      work->head.service_port);
 
-	return aim_ms ? aim_ms * 1000ull / FLW_WAIT_SHARE : FLW_WAIT_DEFAULT_US;
+	return target_latency_ms ?
+		       target_latency_ms * 1000ull / FLW_WAIT_SHARE :
+		       FLW_WAIT_DEFAULT_US;
 }
 
 static int keep(const struct flw_work *work, uint64_t chosen, uint64_t wait_us)
--- a/src/core/table.c
+++ b/src/core/table.c
@@ -218,7 +218,7 @@
 	row->cold_slots = msg->cold_slots;
 	row->cold_per_ks = msg->cold_per_ks;
 	row->flow_idle_ms = msg->flow_idle_ms;
-	row->aim_ms = msg->aim_ms;
+	row->target_latency_ms = msg->target_latency_ms;
 	row->state = msg->state;
 	row->revision = msg->revision;
 	snprintf(row->who, sizeof(row->who), "%s", msg->who);
@@ -240,7 +240,7 @@
 	msg->cold_slots = row->cold_slots;
 	msg->cold_per_ks = row->cold_per_ks;
 	msg->flow_idle_ms = row->flow_idle_ms;
-	msg->aim_ms = row->aim_ms;
+	msg->target_latency_ms = row->target_latency_ms;
 	msg->state = row->state;
 	msg->revision = row->revision;
 	msg->who = row->who;
@@ -398,7 +398,8 @@
 	       a->slots == b->slots && a->max_flows == b->max_flows &&
 	       a->cold_slots == b->cold_slots &&
 	       a->cold_per_ks == b->cold_per_ks &&
-	       a->flow_idle_ms == b->flow_idle_ms && a->aim_ms == b->aim_ms &&
+	       a->flow_idle_ms == b->flow_idle_ms &&
+	       a->target_latency_ms == b->target_latency_ms &&
 	       a->state == b->state && !strcmp(a->change_id, b->change_id);
 }
 
--- a/src/core/view.c
+++ b/src/core/view.c
@@ -98,7 +98,7 @@
 			continue;
 		route->service = (uint32_t)(service - view->services);
 		route->weight = row->weight;
-		route->aim_ms = row->aim_ms;
+		route->target_latency_ms = row->target_latency_ms;
 		route->former = row->state != JJ__ROW_STATE__STATE_IN;
 		view->route_count++;
 	}
@@ -473,14 +473,15 @@
 	return 0;
 }
 
-uint32_t viw_aim_ms(const struct viw *view, uint32_t ip, uint16_t port)
+uint32_t viw_target_latency_ms(const struct viw *view, uint32_t ip,
+			       uint16_t port)
 {
 	const struct viw_route *end;
 	const struct viw_route *route = routes_of(view, ip, port, &end);
 
 	for (; route < end; route++)
 		if (!route->former)
-			return route->aim_ms;
+			return route->target_latency_ms;
 	return 0;
 }
 
--- a/tests/flow_test.cc
+++ b/tests/flow_test.cc
@@ -573,7 +573,7 @@
 		fleet.run(1500);
 	}
 	EXPECT_EQ(fleet.agents[0]->core->waiting_count, 3u);
-	/* The route's aim is 240 ms: they wait for 20 ms. */
+	/* The route's target latency is 240 ms: they wait for 20 ms. */
 	fleet.run(20000 + 2 * FLW_TICK_US);
 	for (auto key : keys) {
 		EXPECT_FALSE(fleet.callers[key].open);
@@ -741,7 +741,7 @@
 	desk_fleet fleet(21, 3);
 	tbl_row route = fleet.route_row("r", "desk", "198.18.0.1:443");
 
-	route.aim_ms = 900;
+	route.target_latency_ms = 900;
 	fleet.rows("config", { fleet.service_row("desk"), route });
 	keep_busy(fleet, 0, 100, 3 * SECOND);
 	keep_busy(fleet, 2, 200, 90000);
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -161,7 +161,7 @@
 	EXPECT_TRUE(got.log.empty());
 	ASSERT_TRUE(got.find("r-1.desk"));
 	EXPECT_STREQ(got.find("r-1.desk")->address, "198.18.0.1:8080");
-	EXPECT_EQ(got.find("r-1.desk")->aim_ms, 300u);
+	EXPECT_EQ(got.find("r-1.desk")->target_latency_ms, 300u);
 	ASSERT_TRUE(got.find("r-2.vault"));
 	EXPECT_EQ(got.find("r-2.vault")->weight, 10u);
 	EXPECT_EQ(got.find("r-2.desk")->weight, 90u);
--- a/tests/relay_fake.h
+++ b/tests/relay_fake.h
@@ -198,7 +198,7 @@
 
 		row.kind = JJ__KIND__KIND_ROUTE;
 		row.weight = 100;
-		row.aim_ms = 240;
+		row.target_latency_ms = 240;
 		snprintf(row.name, sizeof(row.name), "%s.%s", name, service);
 		snprintf(row.service, sizeof(row.service), "%s", service);
 		snprintf(row.address, sizeof(row.address), "%s", address);
