--- a/src/core/flow_target.c
+++ b/src/core/flow_target.c
@@ -11,6 +11,8 @@
 #include <string.h>
 
 #define MISSED_BEATS 3 /* heartbeats missed by a target that is gone */
+/* Heartbeats that one which is there sends in any case after a start of ours */
+#define FIRST_BEATS 2
 
 /* -- reports ------------------------------------------------------------- */
 
@@ -101,9 +103,12 @@
 /* Target lock held. */
 static int is_gone(const struct flw *flw, uint64_t now)
 {
-	uint64_t patience = MISSED_BEATS * flw->desc.heartbeat_ms * 1000ull;
+	uint64_t beat_us = flw->desc.heartbeat_ms * 1000ull;
 
-	return flw->target.gone || now > flw->target.heard + patience;
+	if (!*flw->target.said.id)
+		return now > flw->started + FIRST_BEATS * beat_us;
+	return flw->target.gone ||
+	       now > flw->target.heard + MISSED_BEATS * beat_us;
 }
 
 Jj__Phase flw_phase(struct flw *flw, uint64_t now)
@@ -112,10 +117,10 @@
 	Jj__Phase phase = JJ__PHASE__PHASE_WARM;
 
 	pthread_mutex_lock(&flw->target_lock);
-	if (!*target->said.id)
-		phase = JJ__PHASE__PHASE_JOINING;
-	else if (is_gone(flw, now))
+	if (is_gone(flw, now))
 		phase = JJ__PHASE__PHASE_DOWN;
+	else if (!*target->said.id)
+		phase = JJ__PHASE__PHASE_JOINING;
 	else if (target->said.leaving || flw->stopping)
 		phase = JJ__PHASE__PHASE_DRAINING;
 	else if (now < target->cold_until)
--- a/tests/flow_test.cc
+++ b/tests/flow_test.cc
@@ -824,6 +824,27 @@
 	}
 }
 
+/*
+ * As after a loss of power when the target does not come back: what its former
+ * life held is gone, and must not keep others from saying so.
+ */
+TEST(Reports, ATargetThatNeverTellsIsGoneToo)
+{
+	desk_fleet fleet(17, 2);
+	relay_agent &agent = *fleet.agents[0];
+
+	fleet.kill(agent);
+	fleet.start(agent);
+	agent.core->desc.heartbeat_ms = 1000;
+	EXPECT_EQ(flw_phase(agent.core.get(), fleet.now + SECOND),
+		  JJ__PHASE__PHASE_JOINING);
+	EXPECT_EQ(flw_phase(agent.core.get(), fleet.now + 2 * SECOND + 1),
+		  JJ__PHASE__PHASE_DOWN);
+	fleet.report(agent);
+	EXPECT_EQ(flw_phase(agent.core.get(), fleet.now + SECOND),
+		  JJ__PHASE__PHASE_WARM);
+}
+
 TEST(Reports, MissingOnesMeanThatTheTargetIsGone)
 {
 	desk_fleet fleet(16, 1);
--- /dev/null
+++ b/tests/relay_lib.sh
@@ -0,0 +1,161 @@
+# A fleet that relays flows, as processes on 127.NET, with stand-ins for the
+# platform's store, the targets and the callers. Read in by relay.sh, soak.sh.
+set -u
+cd "$(dirname "${BASH_SOURCE[0]}")/.." || exit 1
+build=${BUILD:-build}
+net=${NET:-140}
+dir=$(mktemp -d /tmp/jujube-relay.XXXXXX)
+store=127.$net.9.1:8169
+declare -A pids
+
+finish() {
+	for pid in "${pids[@]}"; do kill -9 "$pid" 2>/dev/null; done
+	wait 2>/dev/null
+	rm -rf "$dir"
+}
+trap finish EXIT
+
+fail() {
+	echo "FAIL: $*"
+	tail -n 5 "$dir"/*.log
+	exit 1
+}
+
+fleet_section() {
+	cat <<-END
+	[fleet]
+	key = 00112233445566778899aabbccddeeff
+	probe_ms = 200
+	suspect_ms = 600
+	gossip_ms = 100
+	[registry]
+	address = $store
+	END
+}
+
+# Starts a process in the background under a name, with its own log.
+start() {
+	local name=$1
+	shift
+	"$@" >>"$dir/$name.log" 2>&1 &
+	pids[$name]=$!
+}
+
+start_balancer() {
+	cat >"$dir/balancer-$1.ini" <<-END
+	[identity]
+	name = balancer-$1
+	data_centre = zone-0
+	ip = 127.$net.1.$1
+	control_port = 7720
+	data_port = 7735
+	$(fleet_section)
+	[ingress]
+	address = 127.$net.1.$1:8172
+	ready = 127.$net.1.$1:8167
+	END
+	start "balancer-$1" "$build/jujube-relayd" -c "$dir/balancer-$1.ini"
+}
+
+start_agent() {
+	cat >"$dir/agent-$1.ini" <<-END
+	[identity]
+	name = agent-$1
+	data_centre = zone-$(($1 % 2))
+	ip = 127.$net.2.$1
+	control_port = 7720
+	data_port = 7735
+	$(fleet_section)
+	[egress]
+	service = $2
+	target = 127.$net.2.$1:8165
+	address = 127.$net.2.$1:8162
+	callers = 127.$net.2.$1:8172
+	heartbeats = 127.$net.2.$1:8166
+	heartbeat_ms = 300
+	END
+	start "agent-$1" "$build/jujube-relay-agentd" -c "$dir/agent-$1.ini"
+}
+
+start_agents() {
+	local i
+	for i in 1 2 3 4; do start_agent "$i" desk; done
+	for i in 5 6; do start_agent "$i" vault; done
+}
+
+operator() {
+	curl -s --noproxy '*' -X "$1" "http://$store/operator?key=$2" \
+		-d "${3:-}" >/dev/null
+}
+
+fault() {
+	curl -s --noproxy '*' "http://$store/fault?mode=$1" >/dev/null
+}
+
+configure() {
+	operator POST op/config '{"version":'"$1"',"routes":[
+		{"name":"r-1","host":"198.18.0.1","prefix":"/443/",
+		 "service":"desk","targetLatencyMs":300},
+		{"name":"r-2","host":"198.18.0.1","prefix":"/444/",
+		 "service":"vault","targetLatencyMs":300}],
+		"services":[{"name":"desk"},{"name":"vault"}],
+		"limits":{"idleTimeoutMs":15000}}'
+}
+
+ready() {
+	curl -s --noproxy '*' -o "$dir/ready" -w '%{http_code}' \
+		"http://127.$net.1.$1:8167/ready"
+}
+
+wait_ready() {
+	local tries=100
+	until [ "$(ready "$1")" = 200 ]; do
+		tries=$((tries - 1))
+		[ $tries -gt 0 ] || fail "balancer $1 is not ready"
+		sleep 0.1
+	done
+}
+
+# Processes that wait for changes at the store, by their last word on it.
+watching() {
+	local name
+	for name in balancer-1 balancer-2 agent-{1..6}; do
+		grep JJ324 "$dir/$name.log" | tail -n 1 |
+			grep -q 'watching=1' && echo "$name"
+	done | paste -sd' '
+}
+
+# follows NAME REVISION: whether that table is in force there.
+follows() {
+	grep -q "JJ300.* revision=$2 " "$dir/$1.log"
+}
+
+# world SECONDS PER_SECOND: the load, in the background.
+world() {
+	"$build/tests/standin-world" "$net" "$1" "$2" 2 1:4:desk 5:2:vault \
+		>"$dir/world.out" 2>"$dir/world.log" &
+	pids[world]=$!
+}
+
+# result MOST_FAILED: waits for the load and judges it.
+result() {
+	wait "${pids[world]}" || fail "a promise is broken: $(cat "$dir/world.out")"
+	unset 'pids[world]'
+	cat "$dir/world.out"
+	failed=$(sed -n 's/.* failed=\([0-9]*\).*/\1/p' "$dir/world.out")
+	answered=$(sed -n 's/.* answered=\([0-9]*\).*/\1/p' "$dir/world.out")
+	[ "${failed:-9999}" -le "$1" ] || fail "$failed callers failed"
+	[ "${answered:-0}" -ge 200 ] || fail "only $answered callers served"
+}
+
+# The store, its first configuration, and the whole fleet.
+start_fleet() {
+	start store "$build/tests/standin-metastore" "127.$net.9.1" 8169
+	sleep 0.3
+	configure 7
+	start_balancer 1
+	start_balancer 2
+	start_agents
+	wait_ready 1
+	wait_ready 2
+}
--- a/tests/standin/world.c
+++ b/tests/standin/world.c
@@ -7,8 +7,11 @@
  * Server i of the platform lies at 127.NET.2.i (packets 8165, its agent's
  * 8162 and 8166), balancer i at 127.NET.1.i:8172, callers at 127.NET.3.x.
  * The first service gets the routes at port 443, the second those at 444.
- * SIGUSR1: server 1 says that it is draining. Prints one line at the end; the
- * exit status tells whether a promise was broken.
+ * Every FEED_SHARE-th caller keeps its flow and asks again and again. Servers
+ * never end: whatever happens to the fleet, their open flows may go on.
+ * SIGUSR1: server 1 says that it is draining. SIGUSR2: zone-1 was taken out by
+ * an accepted change, or (the next time) may be taken back. Prints one line at
+ * the end; the exit status tells whether a promise was broken.
  */
 #include <arpa/inet.h>
 #include <errno.h>
@@ -32,6 +35,13 @@
 #define BEAT_MS 300
 #define LEAD_MS 500 /* the fleet hears of the targets before callers come */
 #define DRAIN_MS 1000
+#define EVACUATED_MS 8000 /* the users' 5 s, and the longest freeze of a test */
+#define FEED_SHARE 16 /* every so many-th caller */
+#define FEED_MS 300 /* between a feed's requests */
+#define FEED_LOST_MS 5000 /* unanswered for so long at the end */
+#define RESET_SPAN 76800u
+#define REQUEST 20 /* bytes */
+#define ANSWER 60 /* bytes */
 #define SYN 1
 #define RST 2
 #define FIN 16
@@ -48,17 +58,21 @@
 	long long drained_at; /* acknowledged */
 	int late; /* openings taken DRAIN_MS after it */
 	int strays; /* packets of flows that it does not hold */
+	int evacuated; /* openings taken EVACUATED_MS after its zone was out */
 };
 
-enum state { IDLE, OPENING, ASKING, CLOSING };
+enum state { IDLE, OPENING, ASKING, PAUSING, CLOSING };
 
 struct caller {
 	enum state state;
 	uint32_t ip;
 	uint16_t port;
 	int service;
+	uint32_t isn; /* its first sequence number */
 	uint32_t seq;
 	uint32_t ack;
+	int feed;
+	long long answered_at;
 	int copies;
 	long long started;
 	long long next;
@@ -77,6 +91,10 @@
 static int failed;
 static int resets;
 static int wrong; /* openings at a server of another service */
+static int mixed; /* answers to another request than the caller's */
+static int broken; /* resets of flows whose server has them open */
+static long long out_since; /* zone-1, 0: in */
+static volatile sig_atomic_t zone_switched;
 static volatile sig_atomic_t drain_first;
 static long long born_ms; /* of all servers, since 1970 */
 
@@ -162,6 +180,10 @@
 {
 	uint8_t out[HEAD + 64] = { 0 };
 
+	if (len) { /* names the request that it answers */
+		memcpy(out + HEAD, p + 20, 2);
+		memcpy(out + HEAD + 2, p, 4);
+	}
 	put32(out, seq);
 	put32(out + 4, ack);
 	memcpy(out + 12, p + 16, 4);
@@ -193,6 +215,7 @@
 static void server_gets(struct server *s, uint8_t *p, size_t len)
 {
 	struct caller *c = caller_of(p);
+	uint32_t served; /* requests of the flow before this one */
 	uint32_t first;
 
 	if (!c)
@@ -203,6 +226,9 @@
 			wrong++;
 		if (s->drained_at && now_ms() > s->drained_at + DRAIN_MS)
 			s->late++;
+		if (out_since && s->number % 2 &&
+		    now_ms() > out_since + EVACUATED_MS)
+			s->evacuated++;
 		answer(s, p, SYN | ACK, first, get32(p) + 1, 0);
 		return;
 	}
@@ -215,11 +241,13 @@
 		give_back(s, p, len);
 		return;
 	}
-	if (get16(p + 32)) {
-		answer(s, p, ACK, first + 1, get32(p) + 20, 60);
-	}
+	served = (get32(p) - c->isn - 1) / REQUEST;
+	if (get16(p + 32))
+		answer(s, p, ACK, first + 1 + served * ANSWER,
+		       get32(p) + REQUEST, ANSWER);
 	if (p[28] & FIN)
-		answer(s, p, FIN | ACK, first + 61, get32(p) + 1, 0);
+		answer(s, p, FIN | ACK, first + 1 + served * ANSWER,
+		       get32(p) + 1, 0);
 }
 
 /* One call on a connection of its own; the status code, 0: none. */
@@ -297,8 +325,10 @@
 			      .ip = address(3, number & 7),
 			      .port = (uint16_t)(8192 + number % CALLERS),
 			      .service = service,
-			      .seq = (uint32_t)rand(),
+			      .isn = (uint32_t)rand(),
+			      .feed = number % FEED_SHARE == FEED_SHARE - 1,
 			      .started = now_ms() };
+	c->seq = c->isn;
 	asked++;
 	caller_sends(c, SYN, 0, 0);
 	c->next = now_ms() + COPIES_MS;
@@ -310,6 +340,13 @@
 	c->state = IDLE;
 }
 
+static void ask(struct caller *c)
+{
+	c->state = ASKING;
+	caller_sends(c, ACK, c->ack, REQUEST);
+	c->next = now_ms() + AGAIN_MS;
+}
+
 static void caller_gets(const uint8_t *p)
 {
 	struct caller *c = &callers[get16(p + 22) % CALLERS];
@@ -317,49 +354,95 @@
 	if (c->port != get16(p + 22) || c->state == IDLE)
 		return;
 	if (p[28] & RST) {
+		/* Once it is open, a caller takes what fits its flow only. */
+		if (c->state != OPENING &&
+		    get32(p) - c->ack + RESET_SPAN > 2 * RESET_SPAN)
+			return;
 		resets++;
+		if (c->holder) {
+			broken++;
+			fprintf(stderr, "open flow reset: %08x:%u seq=%u\n",
+				c->ip, c->port, get32(p));
+		}
 		end(c, &failed);
 		return;
 	}
 	if (p[28] & SYN) {
 		if (c->state != OPENING)
 			return;
-		c->state = ASKING;
 		c->seq++;
 		c->ack = get32(p) + 1;
-		caller_sends(c, ACK, c->ack, 20);
-		c->next = now_ms() + AGAIN_MS;
+		c->answered_at = now_ms();
+		ask(c);
 		return;
 	}
-	if (get16(p + 32) && c->state == ASKING) {
-		c->state = CLOSING;
-		c->seq += 20;
-		caller_sends(c, FIN | ACK, c->ack + 60, 0);
-		end(c, &answered);
+	/* A late copy of an earlier answer is no answer to this request. */
+	if (!get16(p + 32) || c->state != ASKING || get32(p) != c->ack)
+		return;
+	mixed += get16(p + HEAD) != c->port || get32(p + HEAD + 2) != c->seq;
+	c->seq += REQUEST;
+	c->ack += ANSWER;
+	c->answered_at = now_ms();
+	if (c->feed) {
+		c->state = PAUSING;
+		c->next = now_ms() + FEED_MS;
+		return;
 	}
+	c->state = CLOSING;
+	caller_sends(c, FIN | ACK, c->ack, 0);
+	end(c, &answered);
 }
 
 static void caller_waits(struct caller *c, long long now)
 {
 	if (c->state == IDLE || now < c->next)
 		return;
-	if (now > c->started + GIVE_UP_MS) {
+	if (now > c->started + GIVE_UP_MS &&
+	    (!c->feed || c->state == OPENING)) {
 		end(c, &failed);
 		return;
 	}
-	if (c->state == OPENING)
-		caller_sends(c, SYN, (uint32_t)++c->copies, 0);
-	else
-		caller_sends(c, ACK, c->ack, 20);
-	c->next = now + (c->state == OPENING ? 2 * COPIES_MS : AGAIN_MS);
+	if (c->state != OPENING) {
+		ask(c);
+		return;
+	}
+	caller_sends(c, SYN, (uint32_t)++c->copies, 0);
+	c->next = now + 2 * COPIES_MS;
 }
 
 /* -- loop ---------------------------------------------------------------- */
 
 static void on_signal(int sig)
 {
-	(void)sig;
-	drain_first = 1;
+	if (sig == SIGUSR1)
+		drain_first = 1;
+	else
+		zone_switched = 1;
+}
+
+static void take_signals(void)
+{
+	if (drain_first)
+		servers[0].draining = 1;
+	if (zone_switched) {
+		zone_switched = 0;
+		out_since = out_since ? 0 : now_ms();
+	}
+}
+
+/* Feeds that are open, and those of them that are not answered any more. */
+static void count_feeds(int *open, int *lost)
+{
+	int i;
+
+	for (i = 0; i < CALLERS; i++) {
+		const struct caller *c = &callers[i];
+
+		if (!c->feed || (c->state != ASKING && c->state != PAUSING))
+			continue;
+		++*open;
+		*lost += now_ms() > c->answered_at + FEED_LOST_MS;
+	}
 }
 
 static void round_of_packets(struct pollfd *fds, int count)
@@ -391,6 +474,9 @@
 	int number = 0;
 	int strays = 0;
 	int late = 0;
+	int evacuated = 0;
+	int feeds = 0;
+	int lost = 0;
 	int i;
 
 	if (argc < 6)
@@ -402,6 +488,7 @@
 	srand(1);
 	born_ms = time(NULL) * 1000LL;
 	signal(SIGUSR1, on_signal);
+	signal(SIGUSR2, on_signal);
 	for (i = 5; i < argc; i++) {
 		int first;
 		int count;
@@ -429,8 +516,7 @@
 	while (now_ms() < until + 3000) {
 		long long now = now_ms();
 
-		if (drain_first)
-			servers[0].draining = 1;
+		take_signals();
 		for (i = 0; i < server_count; i++)
 			if (now >= servers[i].beat_at)
 				beat(&servers[i], services[servers[i].service]);
@@ -446,9 +532,12 @@
 	for (i = 0; i < server_count; i++) {
 		strays += servers[i].strays;
 		late += servers[i].late;
+		evacuated += servers[i].evacuated;
 	}
+	count_feeds(&feeds, &lost);
 	printf("asked=%d answered=%d failed=%d resets=%d strays=%d wrong=%d "
-	       "late=%d\n",
-	       asked, answered, failed, resets, strays, wrong, late);
-	return wrong || late;
+	       "late=%d evacuated=%d mixed=%d broken=%d feeds=%d lost=%d\n",
+	       asked, answered, failed, resets, strays, wrong, late, evacuated,
+	       mixed, broken, feeds, lost);
+	return wrong || late || evacuated || mixed || broken || lost;
 }
