--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -93,7 +93,7 @@
 }
 
 one_fault() {
-	draw 10
+	draw 11
 	case $drawn in
 	0 | 1)
 		draw_process || return
@@ -144,6 +144,12 @@
 		configure $version
 		;;
 	9) switch_zone ;;
+	10) # the load says so with each heartbeat until it is acknowledged
+		[ -z "${state[drained]:-}" ] || return
+		say "server 1 drains"
+		kill -USR1 "${pids[world]}"
+		state[drained]=yes
+		;;
 	esac
 }
 
