--- a/tests/flow_test.cc
+++ b/tests/flow_test.cc
@@ -833,7 +833,7 @@
 	desk_fleet fleet(17, 2);
 	relay_agent &agent = *fleet.agents[0];
 
-	fleet.kill(agent);
+	flw_finish(agent.core.get());
 	fleet.start(agent);
 	agent.core->desc.heartbeat_ms = 1000;
 	EXPECT_EQ(flw_phase(agent.core.get(), fleet.now + SECOND),
