--- a/include/jujube/flow.h
+++ b/include/jujube/flow.h
@@ -233,6 +233,7 @@
 	uint32_t load;
 	uint32_t cap;
 	uint64_t at;
+	uint8_t avoided; /* did not tell of an answer since its last report */
 };
 
 /* What the target said last, as decoded from its heartbeat. */
@@ -296,6 +297,7 @@
 	void *thread; /* handed to the hooks */
 	const struct viw *view;
 	uint64_t now;
+	uint8_t waited; /* the packet lay in a socket over a pause */
 };
 
 /* Resolves defaults and checks. */
--- a/src/core/flow.c
+++ b/src/core/flow.c
@@ -216,8 +216,16 @@
 	flw_place(&again);
 }
 
+/*
+ * One that waited while this process was paused was meant for the time before:
+ * its caller has repeated it, perhaps to another agent, or has given up.
+ */
 static void on_opening(const struct flw_work *work, struct flw_flow *flow)
 {
+	if (work->call->waited) {
+		met_add(work->call->flw->desc.met, MET_TOO_OLD, 1);
+		return;
+	}
 	if (flow && on_known_opening(work, flow))
 		return;
 	if (!viw_leads_to(work->call->view, work->head.service_ip,
--- a/src/core/flow_internal.h
+++ b/src/core/flow_internal.h
@@ -49,7 +49,7 @@
 void flw_place_again(const struct flw_call *call, struct flw_shard *shard,
 		     struct flw_flow *flow, int returned);
 void flw_report_load(const struct flw_call *call);
-/* Gets nothing until it is heard of again. */
+/* Comes after all others until it is heard of again. */
 void flw_avoid_peer(struct flw *flw, uint64_t id);
 void flw_note_answer(struct flw *flw);
 
--- a/src/core/flow_place.c
+++ b/src/core/flow_place.c
@@ -17,6 +17,8 @@
 
 #define FILL_SCALE 1000 /* fill is counted in thousandths of the cap */
 #define ELSEWHERE 1 /* added for a target in another data centre */
+/* Added for a peer that is avoided: above any fill, it comes last. */
+#define AVOIDED (4 * FILL_SCALE)
 #define NOBODY UINT32_MAX
 
 /* -- reports ------------------------------------------------------------- */
@@ -52,6 +54,7 @@
 		peer->load = load->in_flight;
 		peer->cap = load->cap;
 		peer->at = call->now;
+		peer->avoided = 0;
 	}
 	pthread_mutex_unlock(&flw->peer_lock);
 }
@@ -63,7 +66,7 @@
 	pthread_mutex_lock(&flw->peer_lock);
 	for (i = 0; i < FLW_PEERS; i++)
 		if (flw->peers[i].id == id)
-			flw->peers[i].cap = 0;
+			flw->peers[i].avoided = 1;
 	pthread_mutex_unlock(&flw->peer_lock);
 }
 
@@ -212,6 +215,8 @@
 			continue;
 		at = fill(peer->load, room_for(work, peer->cap), agent,
 			  data_centre);
+		if (at != NOBODY && peer->avoided)
+			at += AVOIDED;
 		if (at < limit) {
 			limit = at;
 			best = agent;
@@ -361,7 +366,8 @@
 		wait_or_refuse(work, why);
 		return;
 	}
-	memcpy(tried, packet.tried, packet.n_tried * sizeof(*tried));
+	if (packet.n_tried)
+		memcpy(tried, packet.tried, packet.n_tried * sizeof(*tried));
 	tried[packet.n_tried++] = work->me->id;
 	packet.tried = tried;
 	if (!packet.origin)
--- a/src/io/egress.c
+++ b/src/io/egress.c
@@ -23,6 +23,8 @@
 	int epoll_fd;
 	int target_fd;
 	int data_fd;
+	uint64_t last_round_ms;
+	uint8_t waited; /* what data_fd holds came before the end of a pause */
 };
 
 static struct flw_call call_of(struct egr *egr, struct nod_lane *lane,
@@ -101,6 +103,7 @@
 {
 	struct flw_call call = call_of(t->egr, &t->lane, view);
 
+	call.waited = t->waited;
 	if (env->body_case == JJ__ENVELOPE__BODY_PACKET)
 		flw_from_fleet(&call, env->packet);
 	else if (env->body_case == JJ__ENVELOPE__BODY_HOLDINGS)
@@ -118,8 +121,10 @@
 		Jj__Envelope *env;
 		enum jj_status status;
 
-		if (len < 0)
+		if (len < 0) {
+			t->waited = 0;
 			return;
+		}
 		status = frm_open(&nod->key, &nod->replay, &t->arena, buf,
 				  (size_t)len, &env);
 		if (status == JJ_OK)
@@ -155,11 +160,16 @@
 
 	rcu_register_thread();
 	frm_arena_init(&t->arena);
+	t->last_round_ms = net_boot_ms();
 	while (!t->egr->stopping) {
 		int count = epoll_wait(t->epoll_fd, events, 2, WAIT_MS);
 		const struct viw *view;
 		int i;
 
+		if (nod_pause_ms(&t->last_round_ms))
+			t->waited = 1;
+		else if (!count)
+			t->waited = 0;
 		rcu_read_lock();
 		view = nod_view(t->egr->nod);
 		for (i = 0; i < count; i++) {
--- a/src/io/ingress.c
+++ b/src/io/ingress.c
@@ -26,6 +26,8 @@
 	int epoll_fd;
 	int caller_fd;
 	int data_fd;
+	uint64_t last_round_ms;
+	int waited; /* what caller_fd holds came before the end of a pause */
 	struct mmsghdr in[BATCH];
 	struct iovec iov[BATCH];
 	uint8_t data[BATCH][PACKET_MAX];
@@ -117,6 +119,11 @@
 		met_add(&ing->nod->met, MET_BAD_FRAME, 1);
 		return;
 	}
+	/* Its caller has repeated it meanwhile, or has given up. */
+	if (t->waited && head.opens) {
+		met_add(&ing->nod->met, MET_TOO_OLD, 1);
+		return;
+	}
 	key = flw_key(&head);
 	status = rly_pick(&ing->rly, view, &head, key, now_ms, &choice);
 	if (status == JJ_OK)
@@ -144,12 +151,14 @@
 	int count = receive(t, t->caller_fd);
 	int i;
 
-	if (count <= 0)
-		return;
-	t->ing->last_packet_ms = now_ms;
-	met_add(&t->ing->nod->met, MET_PACKETS_IN, (uint64_t)count);
+	if (count > 0) {
+		t->ing->last_packet_ms = now_ms;
+		met_add(&t->ing->nod->met, MET_PACKETS_IN, (uint64_t)count);
+	}
 	for (i = 0; i < count; i++)
 		relay_one(t, view, t->data[i], t->in[i].msg_len, now_ms);
+	if (count < BATCH)
+		t->waited = 0;
 }
 
 /* -- the fleet's messages ------------------------------------------------ */
@@ -193,11 +202,16 @@
 
 	rcu_register_thread();
 	frm_arena_init(&t->arena);
+	t->last_round_ms = net_boot_ms();
 	while (!t->ing->stopping) {
 		int count = epoll_wait(t->epoll_fd, events, 2, WAIT_MS);
 		const struct viw *view;
 		int i;
 
+		if (nod_pause_ms(&t->last_round_ms))
+			t->waited = 0;
+		else if (!count)
+			t->waited = 0;
 		rcu_read_lock();
 		view = nod_view(t->ing->nod);
 		for (i = 0; i < count; i++) {
--- a/src/io/net.c
+++ b/src/io/net.c
@@ -34,6 +34,11 @@
 	return net_now_us() / 1000;
 }
 
+uint64_t net_boot_ms(void)
+{
+	return clock_us(CLOCK_BOOTTIME) / 1000;
+}
+
 uint64_t net_wall_ms(void)
 {
 	return clock_us(CLOCK_REALTIME) / 1000;
--- a/src/io/net.h
+++ b/src/io/net.h
@@ -14,6 +14,8 @@
 /* Monotonic time. */
 uint64_t net_now_us(void);
 uint64_t net_now_ms(void);
+/* Monotonic, and goes on while the host is suspended. */
+uint64_t net_boot_ms(void);
 /* Wall clock, milliseconds since 1970. */
 uint64_t net_wall_ms(void);
 
--- a/src/io/node.c
+++ b/src/io/node.c
@@ -323,21 +323,29 @@
 	}
 }
 
+uint64_t nod_pause_ms(uint64_t *last_ms)
+{
+	uint64_t now = net_boot_ms();
+	uint64_t gap = now - *last_ms;
+
+	*last_ms = now;
+	return gap > NOD_PAUSE_MS ? gap : 0;
+}
+
 static void note_pause(struct nod *nod, uint64_t *last_ms)
 {
-	uint64_t now = net_now_ms();
+	uint64_t pause_ms = nod_pause_ms(last_ms);
 
-	if (now - *last_ms > NOD_PAUSE_MS)
+	if (pause_ms)
 		log_put(&nod->desc.log->sink, EV_PAUSED, "for_ms=%llu",
-			(unsigned long long)(now - *last_ms));
-	*last_ms = now;
+			(unsigned long long)pause_ms);
 }
 
 static void *run_control(void *arg)
 {
 	struct nod *nod = arg;
 	struct frm_arena *arena = calloc(1, sizeof(*arena));
-	uint64_t last_ms = net_now_ms();
+	uint64_t last_ms = net_boot_ms();
 
 	if (!arena)
 		abort();
--- a/src/io/node.h
+++ b/src/io/node.h
@@ -195,4 +195,10 @@
 /* The same as a heap string. */
 char *nod_dump_text(struct nod *nod);
 
+/*
+ * Milliseconds that the process or its host stood still since the last round
+ * of a thread, which notes the time of each in last_ms; 0: it did not.
+ */
+uint64_t nod_pause_ms(uint64_t *last_ms);
+
 #endif
--- a/tests/flow_test.cc
+++ b/tests/flow_test.cc
@@ -502,6 +502,28 @@
 	EXPECT_EQ(fleet.logged("JJ501"), 1u);
 }
 
+/*
+ * Its caller has repeated it while this process stood still; what it sends on
+ * its open flow can only go where it always went.
+ */
+TEST(Opening, ThatWaitedOverAPauseIsDropped)
+{
+	desk_fleet fleet(11, 1);
+	uint64_t open = fleet.open(1)[0];
+	uint64_t late = fleet.caller(50);
+
+	fleet.paused = true;
+	fleet.give(0, late, wire{ fleet.callers[late].head, 0 }, 0);
+	wire request = { fleet.callers[open].head, 0 };
+	request.head.payload = 50;
+	fleet.give(0, open, request, 0);
+	fleet.run(100000);
+	EXPECT_FALSE(fleet.callers[late].open);
+	EXPECT_FALSE(fleet.callers[late].reset);
+	EXPECT_EQ(fleet.callers[open].answers, 2);
+	EXPECT_EQ(met_get(fleet.agents[0]->counters.get(), MET_TOO_OLD), 1u);
+}
+
 TEST(Opening, GoesToAnotherHomeWhenTheFirstIsDead)
 {
 	desk_fleet fleet(12);
@@ -663,6 +685,30 @@
 	EXPECT_EQ(fleet.logged("JJ525"), 0u);
 }
 
+/*
+ * The only peer with room did not tell of one answer in time, as when its
+ * notice was lost: it still is the only one with room.
+ */
+TEST(Load, AnAvoidedPeerComesLastNotNever)
+{
+	desk_fleet fleet(18, 2);
+
+	fleet.rows("op/evacuate/dc-a", { fleet.drained("dc-a") });
+	fleet.run(400000);
+	fleet.lose_notices = true;
+	fleet.lose_reports = true;
+	uint64_t first = fleet.caller(50);
+	fleet.give(0, first, wire{ fleet.callers[first].head, 0 }, 0);
+	fleet.run(FLW_CHOSEN_US + 2 * FLW_TICK_US);
+	ASSERT_EQ(fleet.logged("JJ525"), 1u);
+	fleet.lose_notices = false;
+	uint64_t next = fleet.caller(51);
+	fleet.give(0, next, wire{ fleet.callers[next].head, 0 }, 0);
+	fleet.run(30000);
+	EXPECT_TRUE(fleet.callers[next].open);
+	EXPECT_FALSE(fleet.callers[next].reset);
+}
+
 /* A balancer's first home may be of a lower rank by the holder's view. */
 TEST(Load, AnAnswerIsToldToWhoPlacedTheOpening)
 {
--- a/tests/relay.sh
+++ b/tests/relay.sh
@@ -34,6 +34,20 @@
 	[ "$(ready 1)" != 200 ] || fail "a stopping balancer is ready"
 	result 0
 	;;
+frozen) # what waited in their sockets meanwhile opens nothing
+	world 7 200
+	sleep 2
+	kill -STOP "${pids[balancer-1]}" "${pids[agent-2]}"
+	sleep 1.5
+	kill -CONT "${pids[balancer-1]}" "${pids[agent-2]}"
+	result 100
+	for name in balancer-1 agent-2; do
+		kill -USR1 "${pids[$name]}"
+		sleep 0.3
+		grep -q "counter too_old=[1-9]" "$dir/$name.log" ||
+			fail "$name took what waited"
+	done
+	;;
 drain) # from the acknowledgement on; the load checks it
 	world 5 100
 	sleep 1.5
--- a/tests/relay_fake.h
+++ b/tests/relay_fake.h
@@ -137,6 +137,8 @@
 	uint32_t delay_us = 1000;
 	std::map<uint64_t, uint64_t> reports; /* sent, by agent */
 	bool lose_notices = false; /* of who holds a flow */
+	bool lose_reports = false; /* of load */
+	bool paused = false; /* what is given lay in a socket meanwhile */
 	log_sink sink = { on_log, this };
 
 	explicit relay_fleet(uint64_t seed) : rng(seed)
@@ -400,7 +402,7 @@
 	}
 	flw_call call_of(relay_agent &a)
 	{
-		return { a.core.get(), nullptr, a.view.get(), now };
+		return { a.core.get(), nullptr, a.view.get(), now, paused };
 	}
 
 	/* -- hooks -- */
@@ -460,7 +462,8 @@
 		uint32_t cap = env->load->cap;
 
 		a->fleet->reports[from]++;
-
+		if (a->fleet->lose_reports)
+			return;
 		a->fleet->at(a->fleet->delay_us, [a, from, id, load, cap] {
 			relay_agent *peer = a->fleet->agent_of(id);
 			Jj__Load msg = JJ__LOAD__INIT;
