--- a/gen/jujube.pb-c.c
+++ b/gen/jujube.pb-c.c
@@ -727,6 +727,96 @@
   assert(message->base.descriptor == &jj__holdings__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   jj__inquiry__init
+                     (Jj__Inquiry         *message)
+{
+  static const Jj__Inquiry init_value = JJ__INQUIRY__INIT;
+  *message = init_value;
+}
+size_t jj__inquiry__get_packed_size
+                     (const Jj__Inquiry *message)
+{
+  assert(message->base.descriptor == &jj__inquiry__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jj__inquiry__pack
+                     (const Jj__Inquiry *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jj__inquiry__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jj__inquiry__pack_to_buffer
+                     (const Jj__Inquiry *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jj__inquiry__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jj__Inquiry *
+       jj__inquiry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jj__Inquiry *)
+     protobuf_c_message_unpack (&jj__inquiry__descriptor,
+                                allocator, len, data);
+}
+void   jj__inquiry__free_unpacked
+                     (Jj__Inquiry *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jj__inquiry__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   jj__inquiry_reply__init
+                     (Jj__InquiryReply         *message)
+{
+  static const Jj__InquiryReply init_value = JJ__INQUIRY_REPLY__INIT;
+  *message = init_value;
+}
+size_t jj__inquiry_reply__get_packed_size
+                     (const Jj__InquiryReply *message)
+{
+  assert(message->base.descriptor == &jj__inquiry_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jj__inquiry_reply__pack
+                     (const Jj__InquiryReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jj__inquiry_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jj__inquiry_reply__pack_to_buffer
+                     (const Jj__InquiryReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jj__inquiry_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jj__InquiryReply *
+       jj__inquiry_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jj__InquiryReply *)
+     protobuf_c_message_unpack (&jj__inquiry_reply__descriptor,
+                                allocator, len, data);
+}
+void   jj__inquiry_reply__free_unpacked
+                     (Jj__InquiryReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jj__inquiry_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   jj__reply__init
                      (Jj__Reply         *message)
 {
@@ -2753,6 +2843,134 @@
   (ProtobufCMessageInit) jj__holdings__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor jj__inquiry__field_descriptors[3] =
+{
+  {
+    "ip",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Jj__Inquiry, ip),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "port",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Jj__Inquiry, port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "flows",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Jj__Inquiry, n_flows),
+    offsetof(Jj__Inquiry, flows),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jj__inquiry__field_indices_by_name[] = {
+  2,   /* field[2] = flows */
+  0,   /* field[0] = ip */
+  1,   /* field[1] = port */
+};
+static const ProtobufCIntRange jj__inquiry__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor jj__inquiry__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jj.Inquiry",
+  "Inquiry",
+  "Jj__Inquiry",
+  "jj",
+  sizeof(Jj__Inquiry),
+  3,
+  jj__inquiry__field_descriptors,
+  jj__inquiry__field_indices_by_name,
+  1,  jj__inquiry__number_ranges,
+  (ProtobufCMessageInit) jj__inquiry__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jj__inquiry_reply__field_descriptors[3] =
+{
+  {
+    "held",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jj__InquiryReply, n_held),
+    offsetof(Jj__InquiryReply, held),
+    &jj__holding__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "not_held",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Jj__InquiryReply, n_not_held),
+    offsetof(Jj__InquiryReply, not_held),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unknown",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Jj__InquiryReply, n_unknown),
+    offsetof(Jj__InquiryReply, unknown),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jj__inquiry_reply__field_indices_by_name[] = {
+  0,   /* field[0] = held */
+  1,   /* field[1] = not_held */
+  2,   /* field[2] = unknown */
+};
+static const ProtobufCIntRange jj__inquiry_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor jj__inquiry_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jj.InquiryReply",
+  "InquiryReply",
+  "Jj__InquiryReply",
+  "jj",
+  sizeof(Jj__InquiryReply),
+  3,
+  jj__inquiry_reply__field_descriptors,
+  jj__inquiry_reply__field_indices_by_name,
+  1,  jj__inquiry_reply__number_ranges,
+  (ProtobufCMessageInit) jj__inquiry_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor jj__reply__field_descriptors[6] =
 {
   {
@@ -3374,7 +3592,7 @@
   (ProtobufCMessageInit) jj__done__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jj__envelope__field_descriptors[22] =
+static const ProtobufCFieldDescriptor jj__envelope__field_descriptors[24] =
 {
   {
     "sender",
@@ -3640,6 +3858,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "inquiry",
+    28,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jj__Envelope, body_case),
+    offsetof(Jj__Envelope, inquiry),
+    &jj__inquiry__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "inquiry_reply",
+    29,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jj__Envelope, body_case),
+    offsetof(Jj__Envelope, inquiry_reply),
+    &jj__inquiry_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jj__envelope__field_indices_by_name[] = {
   6,   /* field[6] = ack */
@@ -3654,6 +3896,8 @@
   18,   /* field[18] = handover_request */
   21,   /* field[21] = holdings */
   1,   /* field[1] = incarnation */
+  22,   /* field[22] = inquiry */
+  23,   /* field[23] = inquiry_reply */
   2,   /* field[2] = lane */
   12,   /* field[12] = load */
   13,   /* field[13] = packet */
@@ -3670,7 +3914,7 @@
   { 1, 0 },
   { 10, 5 },
   { 16, 10 },
-  { 0, 22 }
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor jj__envelope__descriptor =
 {
@@ -3680,7 +3924,7 @@
   "Jj__Envelope",
   "jj",
   sizeof(Jj__Envelope),
-  22,
+  24,
   jj__envelope__field_descriptors,
   jj__envelope__field_indices_by_name,
   3,  jj__envelope__number_ranges,
--- a/gen/jujube.pb-c.h
+++ b/gen/jujube.pb-c.h
@@ -31,6 +31,8 @@
 typedef struct Jj__Packet Jj__Packet;
 typedef struct Jj__Holding Jj__Holding;
 typedef struct Jj__Holdings Jj__Holdings;
+typedef struct Jj__Inquiry Jj__Inquiry;
+typedef struct Jj__InquiryReply Jj__InquiryReply;
 typedef struct Jj__Reply Jj__Reply;
 typedef struct Jj__DumpRequest Jj__DumpRequest;
 typedef struct Jj__DumpReply Jj__DumpReply;
@@ -422,7 +424,7 @@
   size_t n_tried;
   uint64_t *tried;
   /*
-   * opening, or that a search has visited
+   * opening
    */
   /*
    * some target may hold it, or has a copy of the
@@ -478,6 +480,50 @@
     , 0,NULL }
 
 
+/*
+ * Which of these flows does the receiver's target hold? Sent by an agent that
+ * was given packets of flows nobody told it of.
+ */
+struct  Jj__Inquiry
+{
+  ProtobufCMessage base;
+  /*
+   * of the asker, which the receiver may not know
+   */
+  uint32_t ip;
+  uint32_t port;
+  size_t n_flows;
+  uint64_t *flows;
+};
+#define JJ__INQUIRY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jj__inquiry__descriptor) \
+    , 0, 0, 0,NULL }
+
+
+/*
+ * Each flow of the inquiry is in one of the lists.
+ */
+struct  Jj__InquiryReply
+{
+  ProtobufCMessage base;
+  size_t n_held;
+  Jj__Holding **held;
+  /*
+   * surely
+   */
+  size_t n_not_held;
+  uint64_t *not_held;
+  /*
+   * the sender does not know all that its
+   */
+  size_t n_unknown;
+  uint64_t *unknown;
+};
+#define JJ__INQUIRY_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jj__inquiry_reply__descriptor) \
+    , 0,NULL, 0,NULL, 0,NULL }
+
+
 /*
  * A datagram on its way back to the caller.
  */
@@ -630,7 +676,9 @@
   JJ__ENVELOPE__BODY_HANDOVER_REQUEST = 24,
   JJ__ENVELOPE__BODY_DONE = 25,
   JJ__ENVELOPE__BODY_FLOW_LIST_REQUEST = 26,
-  JJ__ENVELOPE__BODY_HOLDINGS = 27
+  JJ__ENVELOPE__BODY_HOLDINGS = 27,
+  JJ__ENVELOPE__BODY_INQUIRY = 28,
+  JJ__ENVELOPE__BODY_INQUIRY_REPLY = 29
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(JJ__ENVELOPE__BODY__CASE)
 } Jj__Envelope__BodyCase;
 
@@ -664,6 +712,8 @@
     Jj__Done *done;
     Jj__FlowListRequest *flow_list_request;
     Jj__Holdings *holdings;
+    Jj__Inquiry *inquiry;
+    Jj__InquiryReply *inquiry_reply;
   };
 };
 #define JJ__ENVELOPE__INIT \
@@ -975,6 +1025,44 @@
 void   jj__holdings__free_unpacked
                      (Jj__Holdings *message,
                       ProtobufCAllocator *allocator);
+/* Jj__Inquiry methods */
+void   jj__inquiry__init
+                     (Jj__Inquiry         *message);
+size_t jj__inquiry__get_packed_size
+                     (const Jj__Inquiry   *message);
+size_t jj__inquiry__pack
+                     (const Jj__Inquiry   *message,
+                      uint8_t             *out);
+size_t jj__inquiry__pack_to_buffer
+                     (const Jj__Inquiry   *message,
+                      ProtobufCBuffer     *buffer);
+Jj__Inquiry *
+       jj__inquiry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jj__inquiry__free_unpacked
+                     (Jj__Inquiry *message,
+                      ProtobufCAllocator *allocator);
+/* Jj__InquiryReply methods */
+void   jj__inquiry_reply__init
+                     (Jj__InquiryReply         *message);
+size_t jj__inquiry_reply__get_packed_size
+                     (const Jj__InquiryReply   *message);
+size_t jj__inquiry_reply__pack
+                     (const Jj__InquiryReply   *message,
+                      uint8_t             *out);
+size_t jj__inquiry_reply__pack_to_buffer
+                     (const Jj__InquiryReply   *message,
+                      ProtobufCBuffer     *buffer);
+Jj__InquiryReply *
+       jj__inquiry_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jj__inquiry_reply__free_unpacked
+                     (Jj__InquiryReply *message,
+                      ProtobufCAllocator *allocator);
 /* Jj__Reply methods */
 void   jj__reply__init
                      (Jj__Reply         *message);
@@ -1215,6 +1303,12 @@
 typedef void (*Jj__Holdings_Closure)
                  (const Jj__Holdings *message,
                   void *closure_data);
+typedef void (*Jj__Inquiry_Closure)
+                 (const Jj__Inquiry *message,
+                  void *closure_data);
+typedef void (*Jj__InquiryReply_Closure)
+                 (const Jj__InquiryReply *message,
+                  void *closure_data);
 typedef void (*Jj__Reply_Closure)
                  (const Jj__Reply *message,
                   void *closure_data);
@@ -1272,6 +1366,8 @@
 extern const ProtobufCMessageDescriptor jj__packet__descriptor;
 extern const ProtobufCMessageDescriptor jj__holding__descriptor;
 extern const ProtobufCMessageDescriptor jj__holdings__descriptor;
+extern const ProtobufCMessageDescriptor jj__inquiry__descriptor;
+extern const ProtobufCMessageDescriptor jj__inquiry_reply__descriptor;
 extern const ProtobufCMessageDescriptor jj__reply__descriptor;
 extern const ProtobufCMessageDescriptor jj__dump_request__descriptor;
 extern const ProtobufCMessageDescriptor jj__dump_reply__descriptor;
--- a/include/jujube/flow.h
+++ b/include/jujube/flow.h
@@ -21,14 +21,15 @@
  * that it holds the flow.
  *
  * Any other packet goes to the target when it acknowledges what the target
- * has sent; else to the holder that the home knows; else it visits the agents
- * of the service in a circle, until one holds it. An agent that was started
- * lately does not know what its target holds: it tries the target, and passes
- * on what comes back. A packet that has visited every agent of the
- * service that may still hold flows belongs to a flow that has ended, and its
- * caller is reset, so that it need not wait for its deadline. Resets are sent
- * only then, for openings, for flows that the target has forgotten, and for
- * flows whose route was removed; when in doubt a packet is dropped.
+ * has sent; else to the holder that the home knows; else the agent that has it
+ * asks all agents of the service, for many flows at once (see flow_ask.c). An
+ * agent that knows all that its target holds answers for sure; one that was
+ * started later than its target tries the packet there and tells when it comes
+ * back. When every agent, dead ones included, has surely no such flow, it has
+ * ended, and its caller is reset, so that it need not wait for its deadline.
+ * Resets are sent only then, for openings, for flows that the target has
+ * forgotten, and for flows whose route was removed; when in doubt a packet is
+ * dropped.
  *
  * Thread safe: state is in shards by flow key, each under its own lock; the
  * peers have another, taken after a shard's. Hooks are called with a shard
@@ -44,12 +45,11 @@
 #include "jujube/view.h"
 
 #define FLW_SHARDS 4
-#define FLW_PEERS 256
+#define FLW_PEERS 512 /* agents of a service that are known by load, or asked */
 #define FLW_NONE UINT32_MAX
 #define FLW_OPENING_MAX 64 /* bytes of an opening packet */
 #define FLW_TRIED_MAX 4 /* agents that an opening packet visits */
-#define FLW_HOPS_MAX 8 /* forwards of a packet outside a search */
-#define FLW_SEARCH_MAX 64 /* agents that a search visits */
+#define FLW_HOPS_MAX 8 /* forwards of a packet */
 /* A target's kernel answers in under 1 ms; so long means that it is gone. */
 #define FLW_ANSWER_US 60000
 /* An agent that was chosen has had an opening answered, or passed it on. */
@@ -69,7 +69,16 @@
  */
 #define FLW_WAIT_SHARE 12
 #define FLW_WAIT_DEFAULT_US 20000 /* where the route names no such time */
-#define FLW_TRIALS 32 /* packets tried at the target at a time */
+/* Packets tried at the target at a time, as after all agents have restarted. */
+#define FLW_TRIALS 256
+#define FLW_ROUNDS 8 /* inquiries under way */
+#define FLW_ROUND_KEYS 48 /* flows of one, so that it fits a datagram */
+#define FLW_ASK_PACKET 512 /* bytes of a packet that is kept meanwhile */
+/* Two ways between data centres and a busy agent: who is silent is not there. */
+#define FLW_ASK_US 150000
+/* Callers send again after 200 ms: what was not known may be known then. */
+#define FLW_ASK_AGAIN_US 180000
+#define FLW_ROUND_US 2000000 /* a round without packets is over */
 #define FLW_SPAN (1u << 24) /* bytes of answers on one flow */
 #define FLW_LOAD_US 20000 /* least time between load reports */
 #define FLW_LOAD_MAX_US 300000 /* longest time between load reports */
@@ -204,13 +213,40 @@
 	struct map_cell *exception_cells;
 };
 
-/* A packet of a search that was tried at the target. */
+/* A packet that was tried at the target, which may hold its flow. */
 struct flw_trial {
 	uint64_t key;
-	uint64_t visited[FLW_SEARCH_MAX];
-	uint32_t count;
-	uint32_t searched; /* services */
-	uint8_t doubt;
+	uint64_t asker; /* agent that is told when it comes back, or this one */
+	uint64_t via_id;
+	uint32_t via_ip;
+	uint16_t via_port;
+};
+
+/* A flow that the agents are asked for. */
+struct flw_asked {
+	uint64_t key; /* 0: free */
+	uint64_t via_id;
+	uint32_t via_ip;
+	uint16_t via_port;
+	uint16_t len;
+	uint32_t searched; /* services of the address, before this one */
+	uint8_t tried; /* its packets go to agents that do not know */
+	uint8_t not_here; /* surely not at this agent */
+	uint8_t not_held[FLW_PEERS / 8]; /* by agents of the round */
+	uint8_t unknown[FLW_PEERS / 8];
+	uint8_t packet[FLW_ASK_PACKET]; /* the newest */
+};
+
+struct flw_round {
+	uint64_t asked_at; /* 0: gathers flows */
+	uint64_t used; /* time of the last packet, 0: free */
+	uint32_t agent_count;
+	uint32_t key_count;
+	uint32_t left; /* live agents that have not answered */
+	uint8_t partial; /* the service has more agents */
+	uint64_t agents[FLW_PEERS];
+	uint8_t heard[FLW_PEERS]; /* has answered, or is thought dead */
+	struct flw_asked asked[FLW_ROUND_KEYS];
 };
 
 /* An opening that waits, for room or for the answer of who was chosen. */
@@ -256,6 +292,7 @@
 	uint32_t cold_next; /* in cold_ring */
 	uint64_t cold_ring[FLW_COLD_RING];
 	uint8_t gone; /* it said that it has left */
+	uint8_t from_birth; /* heard of from its first report on */
 };
 
 struct flw {
@@ -276,6 +313,9 @@
 	pthread_mutex_t trial_lock; /* taken after a shard's */
 	struct flw_trial trials[FLW_TRIALS];
 	uint32_t next_trial;
+	JJ_ATOMIC(uint64_t) missed_at; /* a flow found no room in the table */
+	pthread_mutex_t ask_lock; /* taken after a shard's */
+	struct flw_round rounds[FLW_ROUNDS];
 	pthread_mutex_t wait_lock;
 	struct flw_waiting waiting[FLW_WAITING];
 	JJ_ATOMIC(uint32_t) waiting_count; /* for room */
@@ -318,6 +358,13 @@
 /* Others hold flows that this agent is home of. */
 void flw_on_holdings(const struct flw_call *call, const Jj__Holdings *holdings);
 
+/* Another agent asks which flows this agent's target holds. */
+void flw_on_inquiry(const struct flw_call *call, const Jj__Inquiry *inquiry);
+
+/* What another agent answered. */
+void flw_on_inquiry_reply(const struct flw_call *call, uint64_t sender,
+			  const Jj__InquiryReply *reply);
+
 /* A load report of another agent. */
 void flw_on_load(const struct flw_call *call, uint64_t sender,
 		 const Jj__Load *load);
@@ -340,7 +387,7 @@
 
 /*
  * This process has heard of every member there is, dead ones included, so that
- * a search which found nothing proves something.
+ * an inquiry which found nothing proves something.
  */
 void flw_settle(struct flw *flw);
 
--- a/include/jujube/metric.h
+++ b/include/jujube/metric.h
@@ -46,6 +46,7 @@
 	X(RESETS, "resets", "resets sent to callers")                          \
 	X(TRIED, "tried", "packets tried at a target that may hold them")      \
 	X(UNHELD, "unheld", "packets of flows that nobody holds")              \
+	X(INQUIRIES, "inquiries", "agents asked which flows they hold")        \
 	X(DELIVERED, "delivered", "packets of held flows given to the target") \
 	X(ADOPTED, "adopted", "flows learnt from what the target sends")       \
 	X(RETURNED, "returned", "packets that the target returned")            \
--- a/src/core/flow.c
+++ b/src/core/flow.c
@@ -38,6 +38,7 @@
 	pthread_mutex_init(&flw->peer_lock, NULL);
 	pthread_mutex_init(&flw->wait_lock, NULL);
 	pthread_mutex_init(&flw->trial_lock, NULL);
+	pthread_mutex_init(&flw->ask_lock, NULL);
 	if (flw_init_tables(flw) != JJ_OK) {
 		flw_finish(flw);
 		return JJ_SYSTEM;
@@ -52,6 +53,7 @@
 	pthread_mutex_destroy(&flw->peer_lock);
 	pthread_mutex_destroy(&flw->wait_lock);
 	pthread_mutex_destroy(&flw->trial_lock);
+	pthread_mutex_destroy(&flw->ask_lock);
 }
 
 void flw_stop(struct flw *flw)
@@ -75,6 +77,15 @@
 	return key ? key : 1;
 }
 
+/*
+ * Time from one event to another. Threads take their time before a lock, so
+ * that the earlier event may have been noted with the later time.
+ */
+static uint64_t elapsed_us(uint64_t from, uint64_t to)
+{
+	return to > from ? to - from : 0;
+}
+
 /* -- sending ------------------------------------------------------------- */
 
 void flw_forward(const struct flw_work *work, const struct viw_agent *to,
@@ -117,10 +128,35 @@
 		"flow=%08x:%u>%08x:%u state=%d age_ms=%llu why=%s",
 		flow->caller_ip, flow->caller_port, flow->service_ip,
 		flow->service_port, flow->state,
-		(unsigned long long)(call->now - flow->opened) / 1000, why);
+		(unsigned long long)elapsed_us(flow->opened, call->now) / 1000,
+		why);
 	flw_reset_caller(call, &head, flow->caller_ack);
 }
 
+int flw_resume(const struct flw_call *call, struct flw_work *work,
+	       Jj__Packet *packet, uint64_t key, uint8_t *data, size_t len)
+{
+	struct flw *flw = call->flw;
+
+	jj__packet__init(packet);
+	*work = (struct flw_work){ .call = call,
+				   .packet = packet,
+				   .shard = flw_shard_of(flw, key),
+				   .service = viw_service(call->view,
+							  flw->service),
+				   .me = viw_agent(call->view, flw->desc.id) };
+	packet->service = flw->service;
+	packet->flow = key;
+	packet->data.data = data;
+	packet->data.len = len;
+	if (!work->service || !work->me ||
+	    flw->desc.codec.decode(data, len, 0, &work->head) != JJ_OK)
+		return 0;
+	packet->caller_ip = work->head.caller_ip;
+	packet->caller_port = work->head.caller_port;
+	return 1;
+}
+
 /* -- packets of callers -------------------------------------------------- */
 
 static void note_path(struct flw_flow *flow, const struct flw_work *work)
@@ -289,9 +325,18 @@
 			      const struct flw_packet *head)
 {
 	struct flw_flow *flow = flw_take(call->flw, shard, key, call->now);
+	struct flw_trial trial;
 
-	if (!flow)
+	if (!flow) {
+		call->flw->missed_at = call->now;
 		return NULL;
+	}
+	if (flw_find_trial(call->flw, key, &trial)) {
+		flow->origin = trial.asker;
+		flow->via_id = trial.via_id;
+		flow->via_ip = trial.via_ip;
+		flow->via_port = trial.via_port;
+	}
 	flow->state = head->opens ? FLW_ANSWERED : FLW_OPEN;
 	flow->first = head->seq;
 	flow->first_known = head->opens;
@@ -303,6 +348,7 @@
 	flow->caller_next = head->ack;
 	met_add(call->flw->desc.met, MET_ADOPTED, 1);
 	flw_tell_placers(call, flow);
+	flw_tell_balancer(call, flow);
 	return flow;
 }
 
@@ -318,13 +364,13 @@
 		flow->first = head->seq;
 		flow->first_known = 1;
 		met_time(flw->desc.met, MET_TIME_OPENING,
-			 call->now - flow->opened);
+			 elapsed_us(flow->opened, call->now));
 		flw_tell_balancer(call, flow);
 		flw_tell_placers(call, flow);
 	}
 	if (head->payload && flow->in_hand)
 		met_time(flw->desc.met, MET_TIME_ANSWER,
-			 call->now - flow->work_since);
+			 elapsed_us(flow->work_since, call->now));
 	if (head->payload || head->closes || head->resets)
 		flw_end_work(flw, flow);
 	if (head->resets || (flow->caller_closed && flow->target_closed))
@@ -393,7 +439,7 @@
 
 /* -- time ---------------------------------------------------------------- */
 
-static uint64_t idle_limit(const struct flw_call *call)
+uint64_t flw_idle_us(const struct flw_call *call)
 {
 	const struct viw_service *service =
 		viw_service(call->view, call->flw->service);
@@ -422,7 +468,7 @@
 		       struct flw_flow *flow, uint64_t idle_us)
 {
 	struct flw *flw = call->flw;
-	uint64_t quiet = call->now - flow->seen;
+	uint64_t quiet = elapsed_us(flow->seen, call->now);
 
 	if (flow->state == FLW_OPENING &&
 	    call->now > flow->opened + FLW_ANSWER_US) {
@@ -450,7 +496,7 @@
 void flw_tick(const struct flw_call *call)
 {
 	struct flw *flw = call->flw;
-	uint64_t idle_us = idle_limit(call);
+	uint64_t idle_us = flw_idle_us(call);
 	uint32_t i;
 
 	flw_serve_waiting(call);
@@ -459,6 +505,7 @@
 		return;
 	flw->next_tick = call->now + FLW_TICK_US;
 	flw_check_chosen(call);
+	flw_check_rounds(call);
 	for (i = 0; i < FLW_SHARDS; i++) {
 		struct flw_shard *shard = &flw->shards[i];
 		uint32_t j;
--- a/src/core/flow_internal.h
+++ b/src/core/flow_internal.h
@@ -8,7 +8,7 @@
 	FLW_FIRST, /* from a balancer, to the flow's home */
 	FLW_PLACED, /* an opening, chosen for this agent's target */
 	FLW_HELD, /* to the agent that is said to hold it */
-	FLW_SEARCH, /* on its way around the service */
+	FLW_TRIAL, /* to one that does not know whether its target holds it */
 };
 
 /* One packet being worked on, with its shard locked. */
@@ -67,6 +67,8 @@
 /* Why the target may not be given a flow now, or null. */
 const char *flw_cannot_open(struct flw *flw, const struct viw_service *service,
 			    const struct viw_agent *me, uint64_t now);
+/* Whether this agent knows of every flow that its target holds. */
+int flw_knows_all(const struct flw_call *call);
 uint32_t flw_cap(struct flw *flw, const struct viw_service *service,
 		 uint64_t now);
 void flw_note_opening(struct flw *flw, uint64_t now);
@@ -78,19 +80,50 @@
 void flw_reset_caller(const struct flw_call *call,
 		      const struct flw_packet *packet, uint32_t seq);
 
+/* Rebuilds a kept packet's surroundings; 0: nothing can be done with it. */
+int flw_resume(const struct flw_call *call, struct flw_work *work,
+	       Jj__Packet *packet, uint64_t key, uint8_t *data, size_t len);
+/* Time after which a flow without packets is forgotten. */
+uint64_t flw_idle_us(const struct flw_call *call);
+
 /* flow_search.c */
 /* Whether a packet acknowledges what the target with that start has sent. */
 int flw_fits(uint32_t ack, uint32_t first);
 /* flow: of the target, when it answered another copy of the opening, or null */
 void flw_on_unheld(const struct flw_work *work, const struct flw_flow *flow);
-/* A trial of an agent that was started lately: the search goes on. */
+/* The target returned a packet that it was given on trial. */
 void flw_on_not_held(const struct flw_call *call, struct flw_shard *shard,
 		     uint64_t key, const struct flw_packet *head, uint8_t *data,
 		     size_t len);
+/* Gives a packet to this agent's target, for the agent that asks. */
+void flw_try_target(const struct flw_work *work, uint64_t asker);
+/* The trial of a flow that the target turned out to hold; 0: none. */
+int flw_find_trial(struct flw *flw, uint64_t key, struct flw_trial *out);
+/* Nobody holds the flow of a packet, or nobody that can be found. */
+struct flw_verdict {
+	uint32_t asked; /* agents */
+	uint32_t silent;
+	uint32_t unknown;
+	uint32_t searched;
+	int partial;
+};
+void flw_on_unfound(const struct flw_work *work,
+		    const struct flw_verdict *verdict);
+
+/* flow_ask.c */
+/* Asks all agents of the service for a flow; not_here: surely not this one. */
+void flw_ask(const struct flw_work *work, int not_here);
+/* Sends gathered inquiries, ends those that are due. No lock may be held. */
+void flw_check_rounds(const struct flw_call *call);
+/* An agent's target surely does not hold a flow. No lock may be held. */
+void flw_note_not_held(const struct flw_call *call, uint64_t agent,
+		       uint64_t key);
 
 /* flow_tell.c */
 /* Those who have to know where the flow is: its home, and who placed it. */
 void flw_tell_placers(const struct flw_call *call, struct flw_flow *flow);
+void flw_fill_holding(Jj__Holding *item, const struct flw *flw,
+		      const struct flw_flow *flow);
 /* The balancer that the flow's packets come through, once each. */
 void flw_tell_balancer(const struct flw_call *call, struct flw_flow *flow);
 /* Who placed an opening here need not wait for an answer. */
--- a/src/core/flow_place.c
+++ b/src/core/flow_place.c
@@ -435,38 +435,26 @@
 void flw_place_again(const struct flw_call *call, struct flw_shard *shard,
 		     struct flw_flow *flow, int returned)
 {
-	struct flw *flw = call->flw;
 	uint8_t opening[FLW_OPENING_MAX];
 	uint64_t tried[FLW_TRIED_MAX];
-	Jj__Packet packet = JJ__PACKET__INIT;
-	struct flw_work work = { .call = call,
-				 .shard = shard,
-				 .packet = &packet,
-				 .service =
-					 viw_service(call->view, flw->service),
-				 .me = viw_agent(call->view, flw->desc.id) };
-
-	memcpy(opening, flow->opening, flow->opening_len);
-	memcpy(tried, flow->tried, sizeof(tried));
-	packet.service = flw->service;
-	packet.caller_ip = flow->caller_ip;
-	packet.caller_port = flow->caller_port;
-	packet.flow = flow->key;
-	packet.via_id = flow->via_id;
-	packet.via_ip = flow->via_ip;
-	packet.via_port = flow->via_port;
-	packet.origin = flow->origin;
+	struct flw_flow from = *flow;
+	Jj__Packet packet;
+	struct flw_work work;
+
+	memcpy(opening, from.opening, from.opening_len);
+	memcpy(tried, from.tried, sizeof(tried));
+	flw_release(call->flw, shard, flow);
+	if (!flw_resume(call, &work, &packet, from.key, opening,
+			from.opening_len))
+		return;
+	packet.via_id = from.via_id;
+	packet.via_ip = from.via_ip;
+	packet.via_port = from.via_port;
+	packet.origin = from.origin;
 	/* A silent target may still have it; one that returned it has not. */
-	packet.doubt = flow->doubt || !returned;
+	packet.doubt = from.doubt || !returned;
 	packet.tried = tried;
-	packet.n_tried = flow->tried_count;
-	packet.data.data = opening;
-	packet.data.len = flow->opening_len;
-	flw_release(flw, shard, flow);
-	if (!work.service || !work.me ||
-	    flw->desc.codec.decode(opening, packet.data.len, 0, &work.head) !=
-		    JJ_OK)
-		return;
+	packet.n_tried = from.tried_count;
 	if (!returned && !work.head.repeat)
 		work.head.repeat = 1;
 	pass_on(&work, returned ? "target returned it" : "target is silent");
--- a/src/core/flow_search.c
+++ b/src/core/flow_search.c
@@ -1,6 +1,7 @@
 /*
- * Packets of flows that the target does not hold: to the holder that is known,
- * else around the service, and around those that the address led to before.
+ * Packets of flows that the target is not known to hold: to the holder that is
+ * known, else on trial to the target when it may hold it, else all agents are
+ * asked, and then those of services that the address led to before.
  */
 #include "flow_internal.h"
 
@@ -30,131 +31,126 @@
 		       NULL;
 }
 
-/* Agents that a searching packet has visited, this one included. */
-struct visits {
-	uint64_t ids[FLW_SEARCH_MAX];
-	uint32_t count;
-	uint32_t searched; /* services of the address, before this one */
-	int doubt; /* some agent's target may hold the flow nevertheless */
-};
+/* -- trials -------------------------------------------------------------- */
 
-static int has_visited(const struct visits *visits, uint64_t id)
-{
-	uint32_t i;
-
-	for (i = 0; i < visits->count; i++)
-		if (visits->ids[i] == id)
-			return 1;
-	return 0;
-}
-
-static void visits_of(const struct flw_work *work, struct visits *visits)
+/*
+ * The target of an agent that was started later may hold flows that the agent
+ * does not know, so their packets are tried there until one comes back. That
+ * none did proves nothing: bare acknowledgements are not answered, and a
+ * target that was given another copy of the opening may swallow all.
+ */
+void flw_try_target(const struct flw_work *work, uint64_t asker)
 {
+	struct flw *flw = work->call->flw;
 	const Jj__Packet *packet = work->packet;
-	size_t i;
-
-	visits->count = 0;
-	visits->searched = packet->searched;
-	visits->doubt = packet->doubt;
-	if (packet->mode == FLW_SEARCH)
-		for (i = 0; i < packet->n_tried && i + 1 < FLW_SEARCH_MAX; i++)
-			visits->ids[visits->count++] = packet->tried[i];
-	visits->ids[visits->count++] = work->me->id;
-}
-
-static uint32_t save_trial(struct flw *flw, uint64_t key,
-			   const struct visits *visits)
-{
+	uint8_t buf[FRM_MAX_DATAGRAM];
 	struct flw_trial *trial;
 	uint32_t at;
 
+	if (packet->data.len > sizeof(buf))
+		return;
 	pthread_mutex_lock(&flw->trial_lock);
 	at = flw->next_trial++ % FLW_TRIALS;
 	trial = &flw->trials[at];
-	trial->key = key;
-	trial->count = visits->count;
-	trial->searched = visits->searched;
-	trial->doubt = (uint8_t)visits->doubt;
-	memcpy(trial->visited, visits->ids,
-	       visits->count * sizeof(*visits->ids));
+	*trial = (struct flw_trial){ .key = packet->flow,
+				     .asker = asker,
+				     .via_id = packet->via_id,
+				     .via_ip = packet->via_ip,
+				     .via_port = (uint16_t)packet->via_port };
 	pthread_mutex_unlock(&flw->trial_lock);
-	return at + 1;
+	memcpy(buf, packet->data.data, packet->data.len);
+	flw->desc.codec.set_mark(buf, at + 1);
+	met_add(flw->desc.met, MET_TRIED, 1);
+	flw->desc.hooks.to_target(flw->desc.hooks.ctx, buf, packet->data.len);
 }
 
 static int load_trial(struct flw *flw, uint64_t key, uint32_t mark,
-		      struct visits *visits)
+		      struct flw_trial *out)
 {
-	const struct flw_trial *trial;
 	int found;
 
 	if (!mark || mark > FLW_TRIALS)
 		return 0;
 	pthread_mutex_lock(&flw->trial_lock);
-	trial = &flw->trials[mark - 1];
-	found = trial->key == key;
-	visits->count = trial->count;
-	visits->searched = trial->searched;
-	visits->doubt = trial->doubt;
-	memcpy(visits->ids, trial->visited,
-	       trial->count * sizeof(*visits->ids));
+	*out = flw->trials[mark - 1];
+	found = out->key == key;
 	pthread_mutex_unlock(&flw->trial_lock);
 	return found;
 }
 
-/*
- * The target of an agent that was started lately may hold flows that the
- * agent does not know, so their packets are tried there until one comes back.
- * That none did proves nothing: bare acknowledgements are not answered, and a
- * target that was given another copy of the opening may swallow all. Every
- * second packet that asks for an answer therefore goes on searching, in doubt.
- * Returns 1: tried.
- */
-static int try_target(const struct flw_work *work, struct visits *visits)
+int flw_find_trial(struct flw *flw, uint64_t key, struct flw_trial *out)
 {
-	const struct flw_call *call = work->call;
-	struct flw *flw = call->flw;
-	uint64_t key = work->packet->flow;
-	struct flw_exception *known = flw_exception(work->shard, key);
-	struct flw_exception e = { .key = key, .at = call->now };
-	uint8_t buf[FRM_MAX_DATAGRAM];
+	uint32_t i;
+	int found = 0;
+
+	pthread_mutex_lock(&flw->trial_lock);
+	for (i = 0; i < FLW_TRIALS && !found; i++) {
+		found = flw->trials[i].key == key;
+		*out = flw->trials[i];
+	}
+	pthread_mutex_unlock(&flw->trial_lock);
+	return found;
+}
+
+/* Counts a trial of a flow; the number of those before. */
+static uint32_t count_trial(const struct flw_work *work)
+{
+	const struct flw_exception *known =
+		flw_exception(work->shard, work->packet->flow);
+	struct flw_exception e = { .key = work->packet->flow,
+				   .at = work->call->now };
+	uint32_t before;
 
-	if (call->now > flw->started + flw->desc.flow_ttl_s * 1000000ull ||
-	    (known && known->not_here) || work->packet->data.len > sizeof(buf))
-		return 0;
 	if (known)
 		e = *known;
-	e.trials += work->head.payload || work->head.closes;
+	before = e.trials;
+	if (e.trials < UINT8_MAX)
+		e.trials++;
 	flw_put_exception(work->shard, &e);
-	if (e.trials && e.trials % 2 == 0) {
-		visits->doubt = 1;
-		return 0;
-	}
-	memcpy(buf, work->packet->data.data, work->packet->data.len);
-	flw->desc.codec.set_mark(buf, save_trial(flw, key, visits));
-	met_add(flw->desc.met, MET_TRIED, 1);
-	flw->desc.hooks.to_target(flw->desc.hooks.ctx, buf,
-				  work->packet->data.len);
-	return 1;
+	return before;
 }
 
-/* The next agent of the circle that was not visited, or null. */
-static const struct viw_agent *next_agent(const struct flw_work *work,
-					  const struct visits *visits)
+static void note_not_here(struct flw_shard *shard, uint64_t key, uint64_t now)
 {
-	const struct viw *view = work->call->view;
-	uint32_t at = (uint32_t)(work->me - view->agents);
-	uint32_t i;
+	const struct flw_exception *held = flw_exception(shard, key);
+	struct flw_exception e = { .key = key, .at = now };
 
-	for (i = 1; i < work->service->count; i++) {
-		at++;
-		if (at == work->service->first + work->service->count)
-			at = work->service->first;
-		if (!has_visited(visits, view->agents[at].id))
-			return &view->agents[at];
-	}
-	return NULL;
+	if (held)
+		e = *held;
+	e.not_here = 1;
+	flw_put_exception(shard, &e);
+}
+
+static int surely_not_here(const struct flw_work *work,
+			   const struct flw_flow *flow)
+{
+	const struct flw_exception *known =
+		flw_exception(work->shard, work->packet->flow);
+
+	return (flow && flow->first_known) || (known && known->not_here) ||
+	       flw_knows_all(work->call);
 }
 
+static void tell_not_held(const struct flw_call *call, uint64_t asker,
+			  uint64_t key)
+{
+	struct flw *flw = call->flw;
+	const struct viw_agent *to = viw_agent(call->view, asker);
+	Jj__Envelope env = JJ__ENVELOPE__INIT;
+	Jj__InquiryReply reply = JJ__INQUIRY_REPLY__INIT;
+
+	if (!to)
+		return;
+	reply.not_held = &key;
+	reply.n_not_held = 1;
+	env.body_case = JJ__ENVELOPE__BODY_INQUIRY_REPLY;
+	env.inquiry_reply = &reply;
+	flw->desc.hooks.to_process(flw->desc.hooks.ctx, call->thread, to->ip,
+				   to->data_port, &env);
+}
+
+/* -- other services ------------------------------------------------------ */
+
 /*
  * The service that the flow's address leads or led to, next in the circle of
  * all such services after one; that itself when there is no other.
@@ -184,16 +180,15 @@
 }
 
 /*
- * A flow stays with its service when its route moves to another. 1: the search
- * goes on there.
+ * A flow stays with its service when its route moves to another. 1: it is
+ * looked for there.
  */
-static int search_former(const struct flw_work *work,
-			 const struct visits *visits)
+static int search_former(const struct flw_work *work, uint32_t before)
 {
 	const struct viw *view = work->call->view;
 	const struct viw_service *service = work->service;
 	uint32_t left = count_services(work);
-	uint32_t searched = visits->searched + 1;
+	uint32_t searched = before + 1;
 
 	for (; searched < left; searched++) {
 		const struct viw_agent *home;
@@ -206,8 +201,6 @@
 			continue;
 		packet.service = service->id;
 		packet.searched = searched;
-		packet.doubt = visits->doubt;
-		packet.n_tried = 0;
 		packet.hops = 0;
 		search.packet = &packet;
 		flw_forward(&search, home, FLW_FIRST);
@@ -216,102 +209,87 @@
 	return 0;
 }
 
+/* -- decisions ----------------------------------------------------------- */
+
 /* Nobody holds it, as far as all agents that could know. */
-static int search_proves(const struct flw_work *work)
+static int is_proof(const struct flw_work *work,
+		    const struct flw_verdict *verdict)
 {
-	return work->call->flw->settled && count_services(work) <= 1 &&
+	return work->call->flw->settled && !verdict->silent &&
+	       !verdict->unknown && !verdict->partial &&
+	       count_services(work) <= 1 &&
 	       next_service(work, NULL) == work->service &&
-	       !work->service->absent && work->head.acknowledges &&
-	       !work->head.resets;
+	       work->head.acknowledges && !work->head.resets;
 }
 
-static void search_on(const struct flw_work *work, const struct visits *visits)
+void flw_on_unfound(const struct flw_work *work,
+		    const struct flw_verdict *verdict)
 {
 	struct flw *flw = work->call->flw;
-	const struct viw_agent *next = next_agent(work, visits);
-	Jj__Packet packet = *work->packet;
-	struct flw_work search = *work;
-	int proves;
-
-	packet.tried = (uint64_t *)visits->ids;
-	packet.n_tried = visits->count;
-	packet.doubt = visits->doubt;
-	packet.searched = visits->searched;
-	packet.hops = 0;
-	search.packet = &packet;
-	if (next && visits->count < FLW_SEARCH_MAX) {
-		flw_forward(&search, next, FLW_SEARCH);
-		return;
-	}
-	if (search_former(work, visits))
+	int proves = is_proof(work, verdict);
+
+	if (search_former(work, verdict->searched))
 		return;
-	proves = !next && !visits->doubt && search_proves(work);
 	met_add(flw->desc.met, MET_UNHELD, 1);
 	log_put(flw->desc.log, EV_FLOW_UNHELD,
-		"flow=%08x:%u>%08x:%u ack=%u visited=%u absent=%u doubt=%d "
-		"reset=%d "
-		"revision=%llu",
+		"flow=%08x:%u>%08x:%u ack=%u asked=%u silent=%u unknown=%u "
+		"reset=%d revision=%llu",
 		work->head.caller_ip, work->head.caller_port,
 		work->head.service_ip, work->head.service_port, work->head.ack,
-		visits->count, work->service->absent, visits->doubt, proves,
+		verdict->asked, verdict->silent, verdict->unknown, proves,
 		(unsigned long long)work->call->view->revision);
 	if (proves)
 		flw_reset_caller(work->call, &work->head, work->head.ack);
 }
 
-/* flow: of the target, when it answered another copy of the opening, or null */
 void flw_on_unheld(const struct flw_work *work, const struct flw_flow *flow)
 {
 	const struct viw_agent *holder = known_holder(work);
-	struct visits visits;
-
+	int not_here = surely_not_here(work, flow);
+
+	if (work->packet->mode == FLW_TRIAL) {
+		if (not_here)
+			tell_not_held(work->call, work->packet->origin,
+				      work->packet->flow);
+		else
+			flw_try_target(work, work->packet->origin);
+		return;
+	}
 	if (holder && work->packet->mode == FLW_FIRST) {
 		met_add(work->call->flw->desc.met, MET_EXCEPTION_HITS, 1);
 		flw_forward(work, holder, FLW_HELD);
 		return;
 	}
-	visits_of(work, &visits);
-	if ((flow && flow->first_known) || !try_target(work, &visits))
-		search_on(work, &visits);
+	/* The first trial may settle it; without a result all are asked. */
+	if (!not_here && !count_trial(work))
+		flw_try_target(work, work->me->id);
+	else
+		flw_ask(work, not_here);
 }
 
-static void note_not_here(struct flw_shard *shard, uint64_t key, uint64_t now)
-{
-	const struct flw_exception *held = flw_exception(shard, key);
-	struct flw_exception e = { .key = key, .at = now };
-
-	if (held)
-		e = *held;
-	e.not_here = 1;
-	flw_put_exception(shard, &e);
-}
-
-/* A trial of an agent that was started lately: the search goes on. */
 void flw_on_not_held(const struct flw_call *call, struct flw_shard *shard,
 		     uint64_t key, const struct flw_packet *head, uint8_t *data,
 		     size_t len)
 {
 	struct flw *flw = call->flw;
 	uint32_t mark = flw->desc.codec.mark(data);
-	struct visits visits;
-	Jj__Packet packet = JJ__PACKET__INIT;
-	struct flw_work work = { .call = call,
-				 .shard = shard,
-				 .packet = &packet,
-				 .head = *head,
-				 .service =
-					 viw_service(call->view, flw->service),
-				 .me = viw_agent(call->view, flw->desc.id) };
-
-	if (!work.service || !work.me || !load_trial(flw, key, mark, &visits))
+	struct flw_trial trial;
+	Jj__Packet packet;
+	struct flw_work work;
+
+	(void)head;
+	if (!load_trial(flw, key, mark, &trial))
 		return;
 	note_not_here(shard, key, call->now);
+	if (trial.asker != flw->desc.id) {
+		tell_not_held(call, trial.asker, key);
+		return;
+	}
 	flw->desc.codec.restore(data);
-	packet.service = flw->service;
-	packet.caller_ip = head->caller_ip;
-	packet.caller_port = head->caller_port;
-	packet.flow = key;
-	packet.data.data = data;
-	packet.data.len = len;
-	search_on(&work, &visits);
+	if (!flw_resume(call, &work, &packet, key, data, len))
+		return;
+	packet.via_id = trial.via_id;
+	packet.via_ip = trial.via_ip;
+	packet.via_port = trial.via_port;
+	flw_ask(&work, 1);
 }
--- a/src/core/flow_target.c
+++ b/src/core/flow_target.c
@@ -13,6 +13,8 @@
 #define MISSED_BEATS 3 /* heartbeats missed by a target that is gone */
 /* Heartbeats that one which is there sends in any case after a start of ours */
 #define FIRST_BEATS 2
+/* Of the first report in a start: nobody was told of the target before. */
+#define FIRST_SEQ 1
 
 /* -- reports ------------------------------------------------------------- */
 
@@ -53,6 +55,7 @@
 			(unsigned long long)report->seq, report->leaving,
 			report->cold_ms, report->slots);
 	if (fresh_start) {
+		target->from_birth = report->seq <= FIRST_SEQ;
 		target->unanswered = 0;
 		target->gone = 0;
 		target->cold_until = 0;
@@ -111,6 +114,26 @@
 	       now > flw->target.heard + MISSED_BEATS * beat_us;
 }
 
+/*
+ * Every packet for the target passes its agent, and an agent gives it nothing
+ * before it was heard of. So one that heard the target's first report has seen
+ * all flows open; another has after the time in which flows without packets
+ * are forgotten. A target that tells nothing holds nothing that can be served.
+ */
+int flw_knows_all(const struct flw_call *call)
+{
+	struct flw *flw = call->flw;
+	uint64_t idle_us = flw_idle_us(call);
+	int known;
+
+	if (flw->missed_at && call->now < flw->missed_at + idle_us)
+		return 0;
+	pthread_mutex_lock(&flw->target_lock);
+	known = flw->target.from_birth || is_gone(flw, call->now);
+	pthread_mutex_unlock(&flw->target_lock);
+	return known || call->now > flw->started + idle_us;
+}
+
 Jj__Phase flw_phase(struct flw *flw, uint64_t now)
 {
 	const struct flw_target *target = &flw->target;
--- a/src/core/flow_tell.c
+++ b/src/core/flow_tell.c
@@ -1,8 +1,8 @@
 /* Who is told which flows this agent's target holds, and what others tell. */
 #include "flow_internal.h"
 
-static void fill_holding(Jj__Holding *item, const struct flw *flw,
-			 const struct flw_flow *flow)
+void flw_fill_holding(Jj__Holding *item, const struct flw *flw,
+		      const struct flw_flow *flow)
 {
 	jj__holding__init(item);
 	item->flow = flow->key;
@@ -43,7 +43,7 @@
 	Jj__Holding item;
 	Jj__Holding *items = &item;
 
-	fill_holding(&item, flw, flow);
+	flw_fill_holding(&item, flw, flow);
 	if (home && home->id != flw->desc.id)
 		tell(call, home->ip, home->data_port, &items, 1);
 	if (origin && origin != home && origin->id != flw->desc.id)
@@ -84,7 +84,7 @@
 	if (!flow->via_id || flow->told_via == flow->via_id)
 		return;
 	flow->told_via = flow->via_id;
-	fill_holding(&item, call->flw, flow);
+	flw_fill_holding(&item, call->flw, flow);
 	tell(call, flow->via_ip, flow->via_port, &items, 1);
 }
 
--- a/src/core/flow_wait.c
+++ b/src/core/flow_wait.c
@@ -115,30 +115,14 @@
 static int resume(const struct flw_call *call, struct flw_waiting *waiting,
 		  struct flw_work *work, Jj__Packet *packet)
 {
-	struct flw *flw = call->flw;
-
-	jj__packet__init(packet);
-	*work = (struct flw_work){ .call = call,
-				   .packet = packet,
-				   .shard = flw_shard_of(flw, waiting->key),
-				   .service = viw_service(call->view,
-							  flw->service),
-				   .me = viw_agent(call->view, flw->desc.id) };
-	packet->service = flw->service;
-	packet->flow = waiting->key;
+	if (!flw_resume(call, work, packet, waiting->key, waiting->opening,
+			waiting->opening_len))
+		return 0;
 	packet->origin = waiting->origin;
 	packet->via_id = waiting->via_id;
 	packet->via_ip = waiting->via_ip;
 	packet->via_port = waiting->via_port;
 	packet->doubt = waiting->doubt;
-	packet->data.data = waiting->opening;
-	packet->data.len = waiting->opening_len;
-	if (!work->service || !work->me ||
-	    flw->desc.codec.decode(waiting->opening, waiting->opening_len, 0,
-				   &work->head) != JJ_OK)
-		return 0;
-	packet->caller_ip = work->head.caller_ip;
-	packet->caller_port = work->head.caller_port;
 	return 1;
 }
 
--- a/src/io/egress.c
+++ b/src/io/egress.c
@@ -108,6 +108,10 @@
 		flw_from_fleet(&call, env->packet);
 	else if (env->body_case == JJ__ENVELOPE__BODY_HOLDINGS)
 		flw_on_holdings(&call, env->holdings);
+	else if (env->body_case == JJ__ENVELOPE__BODY_INQUIRY)
+		flw_on_inquiry(&call, env->inquiry);
+	else if (env->body_case == JJ__ENVELOPE__BODY_INQUIRY_REPLY)
+		flw_on_inquiry_reply(&call, env->sender, env->inquiry_reply);
 }
 
 static void from_fleet(struct egr_thread *t, const struct viw *view)
--- a/tests/flow_test.cc
+++ b/tests/flow_test.cc
@@ -258,6 +258,25 @@
 	}
 }
 
+/*
+ * The thread that looks for idle flows took its time, was preempted, and goes
+ * on after another has delivered packets.
+ */
+TEST(Flows, AreNotForgottenByATickThatBeganEarlier)
+{
+	desk_fleet fleet(32, 1);
+	auto keys = fleet.open(5);
+	relay_agent &agent = *fleet.agents[0];
+	flw_call tick = fleet.call_of(agent);
+
+	tick.now += FLW_TICK_US;
+	fleet.now += FLW_TICK_US + 2000;
+	for (auto key : keys)
+		fleet.give(0, key, wire{ fleet.callers[key].head, 0 }, 0);
+	flw_tick(&tick);
+	EXPECT_EQ((uint32_t)agent.core->flow_count, keys.size());
+}
+
 struct doubt_case {
 	const char *name;
 	void (*make)(desk_fleet &fleet, relay_agent &holder);
@@ -356,6 +375,118 @@
 	}
 }
 
+/* -- lost flows, at any size --------------------------------------------- */
+
+struct loss_case {
+	const char *name;
+	void (*make)(desk_fleet &fleet);
+	bool reset; /* whether callers may be told that their flow is lost */
+};
+
+static void lose_all(desk_fleet &fleet, uint64_t missed)
+{
+	for (auto &agent : fleet.agents)
+		fleet.lose_power(*agent, missed);
+}
+
+static const loss_case losses[] = {
+	{ "all lost power", [](desk_fleet &fleet) { lose_all(fleet, 0); },
+	  true },
+	{ "targets were back before their agents",
+	  [](desk_fleet &fleet) { lose_all(fleet, 3); }, true },
+	{ "some targets were back before their agents",
+	  [](desk_fleet &fleet) {
+		  lose_all(fleet, 0);
+		  fleet.lose_power(*fleet.agents[0], 2);
+		  fleet.lose_power(*fleet.agents[1], 1);
+	  },
+	  true },
+	{ "one agent did not come back",
+	  [](desk_fleet &fleet) {
+		  lose_all(fleet, 0);
+		  fleet.kill(*fleet.agents[1]);
+		  fleet.update(*fleet.agents[1]);
+	  },
+	  false },
+	{ "one agent is back and has not heard of its target",
+	  [](desk_fleet &fleet) {
+		  lose_all(fleet, 0);
+		  fleet.agents[1]->target->silent = true;
+		  flw_finish(fleet.agents[1]->core.get());
+		  fleet.start(*fleet.agents[1]);
+	  },
+	  false },
+};
+
+class Lost : public ::testing::TestWithParam<int>
+{
+};
+
+TEST_P(Lost, FlowsAreResetOnProofOnly)
+{
+	for (auto &loss : losses) {
+		SCOPED_TRACE(loss.name);
+		desk_fleet fleet(41, GetParam());
+		auto keys = fleet.open(20);
+
+		loss.make(fleet);
+		fleet.balancer("balancer-3");
+		fleet.sent.clear();
+		for (auto key : keys)
+			fleet.request(key, 2);
+		fleet.run(190000);
+		for (auto key : keys)
+			EXPECT_EQ(fleet.callers[key].reset, loss.reset);
+		/* An inquiry is for all flows of a tick, at one agent each. */
+		EXPECT_LE(fleet.sent[JJ__ENVELOPE__BODY_INQUIRY],
+			  (uint64_t)GetParam() * 2 * keys.size());
+	}
+}
+
+/* Agents are killed with the balancers; their targets live on. */
+TEST_P(Lost, FlowsOfLivingTargetsAreFound)
+{
+	desk_fleet fleet(42, GetParam());
+	auto keys = fleet.open(20);
+
+	for (auto &agent : fleet.agents) {
+		fleet.kill(*agent);
+		fleet.restart(*agent);
+	}
+	fleet.balancer("balancer-3");
+	for (auto key : keys)
+		fleet.request(key, 2);
+	fleet.run(150000);
+	for (auto key : keys) {
+		EXPECT_EQ(fleet.callers[key].answers, 2);
+		EXPECT_FALSE(fleet.callers[key].reset);
+	}
+}
+
+/* What the silent target held cannot be served any more. */
+TEST_P(Lost, FlowsOfATargetThatStaysAwayAreResetInTheEnd)
+{
+	desk_fleet fleet(43, GetParam());
+	auto keys = fleet.open(10);
+	relay_agent &agent = *fleet.agents[1];
+
+	lose_all(fleet, 0);
+	agent.target->silent = true;
+	flw_finish(agent.core.get());
+	fleet.start(agent);
+	agent.core->desc.heartbeat_ms = 1000;
+	fleet.balancer("balancer-3");
+	for (int i = 0; i < 8; i++) {
+		for (auto key : keys)
+			fleet.send(key, 2);
+		fleet.run(300000);
+	}
+	for (auto key : keys)
+		EXPECT_TRUE(fleet.callers[key].reset);
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes, Lost, ::testing::Values(3, 60, 300));
+
 TEST(Flows, AreResetWhenTheirRouteIsRemoved)
 {
 	desk_fleet fleet(4);
--- a/tests/relay_fake.h
+++ b/tests/relay_fake.h
@@ -136,6 +136,7 @@
 	std::vector<std::string> log;
 	uint32_t delay_us = 1000;
 	std::map<uint64_t, uint64_t> reports; /* sent, by agent */
+	std::map<int, uint64_t> sent; /* messages to processes, by kind */
 	bool lose_notices = false; /* of who holds a flow */
 	bool lose_reports = false; /* of load */
 	bool paused = false; /* what is given lay in a socket meanwhile */
@@ -148,7 +149,7 @@
 		EXPECT_TRUE(tbl_init(&table, 0));
 		snprintf(desc.self.name, sizeof(desc.self.name), "observer");
 		desc.self.incarnation = 1;
-		desc.capacity = 256;
+		desc.capacity = 512;
 		desc.hooks.send = [](void *, uint32_t, uint16_t,
 				     Jj__Envelope *) {};
 		EXPECT_EQ(mbr_resolve(&desc, nullptr), JJ_OK);
@@ -298,6 +299,13 @@
 		a.alive = true;
 		a.view = view;
 	}
+	/* Power is back: the agent after its target's first missed reports. */
+	void lose_power(relay_agent &a, uint64_t missed)
+	{
+		a.target = std::make_unique<fake_target>();
+		a.seq = missed;
+		restart(a);
+	}
 	/* The agent's process ends; its target lives on. */
 	void kill(relay_agent &a)
 	{
@@ -442,14 +450,17 @@
 				  Jj__Envelope *env)
 	{
 		auto *a = (relay_agent *)ctx;
-		std::vector<uint8_t> packed(
-			jj__holdings__get_packed_size(env->holdings));
+		relay_fleet *fleet = a->fleet;
+		uint64_t from = rnk_name_id(a->name.c_str());
+		std::vector<uint8_t> packed(jj__envelope__get_packed_size(env));
 
-		if (a->fleet->lose_notices)
+		if (env->body_case == JJ__ENVELOPE__BODY_HOLDINGS &&
+		    fleet->lose_notices)
 			return;
-		jj__holdings__pack(env->holdings, packed.data());
-		a->fleet->at(a->fleet->delay_us, [a, ip, packed] {
-			a->fleet->process_hears(ip, packed);
+		fleet->sent[env->body_case]++;
+		jj__envelope__pack(env, packed.data());
+		fleet->at(fleet->delay_us, [fleet, from, ip, packed] {
+			fleet->process_hears(from, ip, packed);
 		});
 	}
 	static void on_control(void *ctx, void *, const struct viw_agent *to,
@@ -491,24 +502,36 @@
 		}
 		jj__packet__free_unpacked(packet, NULL);
 	}
-	void process_hears(uint32_t ip, const std::vector<uint8_t> &packed)
+	void agent_hears(relay_agent &a, uint64_t from, Jj__Envelope *env)
 	{
-		Jj__Holdings *said = jj__holdings__unpack(NULL, packed.size(),
-							  packed.data());
+		flw_call call = call_of(a);
+
+		if (env->body_case == JJ__ENVELOPE__BODY_HOLDINGS)
+			flw_on_holdings(&call, env->holdings);
+		else if (env->body_case == JJ__ENVELOPE__BODY_INQUIRY)
+			flw_on_inquiry(&call, env->inquiry);
+		else if (env->body_case == JJ__ENVELOPE__BODY_INQUIRY_REPLY)
+			flw_on_inquiry_reply(&call, from, env->inquiry_reply);
+	}
+	void process_hears(uint64_t from, uint32_t ip,
+			   const std::vector<uint8_t> &packed)
+	{
+		Jj__Envelope *env = jj__envelope__unpack(NULL, packed.size(),
+							 packed.data());
+		bool holdings = env->body_case == JJ__ENVELOPE__BODY_HOLDINGS;
 
 		for (auto &b : balancers)
-			for (size_t i = 0;
-			     ip_of(b->name) == ip && i < said->n_items; i++)
+			for (size_t i = 0; holdings && ip_of(b->name) == ip &&
+					   i < env->holdings->n_items;
+			     i++)
 				rly_learn(b->core.get(), b->view.get(),
-					  said->items[i]->flow,
-					  said->items[i]->holder, now / 1000);
-		for (auto &a : agents) {
-			if (ip_of(a->name) != ip || !a->alive)
-				continue;
-			flw_call call = call_of(*a);
-			flw_on_holdings(&call, said);
-		}
-		jj__holdings__free_unpacked(said, NULL);
+					  env->holdings->items[i]->flow,
+					  env->holdings->items[i]->holder,
+					  now / 1000);
+		for (auto &a : agents)
+			if (ip_of(a->name) == ip && a->alive)
+				agent_hears(*a, from, env);
+		jj__envelope__free_unpacked(env, NULL);
 	}
 	void from_target(relay_agent &a, wire w)
 	{
