Homes in the caller's data centre, few load reports elsewhere; slow and failing targets

- Homes are agents of the data centre that a packet comes in through, where it has four or more (with fewer all of its flows would lose track with one).
- In services of more than 24 agents, load goes to those of the same data centre on change, and each 300 ms to 12 elsewhere, drawn by hash.
- Homes are told again only when a flow's home is another one.

A target that was always fast, and all becoming fast, are left alone.

--- a/gen/jujube.pb-c.c
+++ b/gen/jujube.pb-c.c
@@ -2353,7 +2353,7 @@
   (ProtobufCMessageInit) jj__flow_list_ack__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jj__load__field_descriptors[5] =
+static const ProtobufCFieldDescriptor jj__load__field_descriptors[6] =
 {
   {
     "in_flight",
@@ -2415,10 +2415,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "held_back",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Jj__Load, held_back),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jj__load__field_indices_by_name[] = {
   2,   /* field[2] = cap */
   3,   /* field[3] = flows */
+  5,   /* field[5] = held_back */
   0,   /* field[0] = in_flight */
   4,   /* field[4] = median_us */
   1,   /* field[1] = queued */
@@ -2426,7 +2439,7 @@
 static const ProtobufCIntRange jj__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor jj__load__descriptor =
 {
@@ -2436,7 +2449,7 @@
   "Jj__Load",
   "jj",
   sizeof(Jj__Load),
-  5,
+  6,
   jj__load__field_descriptors,
   jj__load__field_indices_by_name,
   1,  jj__load__number_ranges,
--- a/gen/jujube.pb-c.h
+++ b/gen/jujube.pb-c.h
@@ -368,11 +368,18 @@
   uint32_t queued;
   uint32_t cap;
   uint32_t flows;
+  /*
+   * 0: not warm 
+   */
   uint32_t median_us;
+  /*
+   * nothing while others have room, see speed.h
+   */
+  protobuf_c_boolean held_back;
 };
 #define JJ__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jj__load__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/include/jujube/flow.h
+++ b/include/jujube/flow.h
@@ -6,7 +6,8 @@
  * every packet for the target passes it, so what the target must not be given
  * is stopped here, whatever balancers believe.
  *
- * Opening packet, at the agent that ranks first for the flow (its home):
+ * Opening packet, at the agent that ranks first for the flow (its home, see
+ * viw_homes()):
  *  1. the home places it at the target with the least work in hand, by the
  *     reports of its peers, and remembers where; nobody keeps a flow waiting;
  *  2. the agent that gets it checks for itself that its target may take it
@@ -42,6 +43,7 @@
 #include "jujube/atomic.h"
 #include "jujube/log.h"
 #include "jujube/metric.h"
+#include "jujube/speed.h"
 #include "jujube/view.h"
 
 #define FLW_SHARDS 4
@@ -84,8 +86,14 @@
 #define FLW_LOAD_MAX_US 300000 /* longest time between load reports */
 /* Peers in one round: 400 reports a second at most, 24 KB, of a busy agent. */
 #define FLW_LOAD_PEERS 8
+#define FLW_LOAD_ALL 24 /* agents of a service that all hear of each other */
+/* Peers elsewhere that hear of an agent, so that its neighbours' work can go
+ * there; a home hears of as many, and an opening visits FLW_TRIED_MAX. */
+#define FLW_LOAD_FAR 12
 #define FLW_LOAD_FRESH_US 700000 /* peers silent for longer get no flows */
 #define FLW_TICK_US 20000
+/* A target that may be failing is tried so often, see speed.h. */
+#define FLW_PROBE_US 500000
 #define FLW_COLD_WINDOW_US 1050000 /* a second, and how exact clocks are */
 #define FLW_COLD_RING 256 /* openings of the last second remembered */
 
@@ -182,7 +190,9 @@
 	uint32_t caller_next; /* sequence number after the caller's data */
 	uint32_t next_free;
 	uint64_t told_via; /* balancer that was told last */
+	uint64_t told_home; /* life of the home that was told last */
 	uint64_t work_since; /* in hand since */
+	uint64_t asked_at; /* time of a request without an answer yet, or 0 */
 	uint64_t tried[FLW_TRIED_MAX];
 	uint8_t opening[FLW_OPENING_MAX];
 };
@@ -268,8 +278,10 @@
 	uint64_t id; /* 0: free */
 	uint32_t load;
 	uint32_t cap;
+	uint32_t typical_us; /* see speed.h */
 	uint64_t at;
-	uint8_t avoided; /* did not tell of an answer since its last report */
+	/* Held back, or did not tell of an answer since its last report. */
+	uint8_t avoided;
 };
 
 /* What the target said last, as decoded from its heartbeat. */
@@ -293,6 +305,7 @@
 	uint64_t cold_ring[FLW_COLD_RING];
 	uint8_t gone; /* it said that it has left */
 	uint8_t from_birth; /* heard of from its first report on */
+	struct spd speed;
 };
 
 struct flw {
@@ -321,13 +334,16 @@
 	JJ_ATOMIC(uint32_t) waiting_count; /* for room */
 	pthread_mutex_t peer_lock;
 	struct flw_peer peers[FLW_PEERS];
+	JJ_ATOMIC(uint32_t) peers_us; /* median of their typical times, or 0 */
 	uint64_t next_tick;
 	uint64_t load_sent_at; /* the last round */
 	uint64_t load_full_at; /* the last report to all peers began */
 	uint32_t load_left; /* peers that have not had the last report */
+	uint32_t load_far; /* reports left until all elsewhere have one */
 	uint32_t load_next; /* position in the service of the next peer */
 	uint32_t load_sent;
 	uint32_t cap_sent;
+	uint8_t held_sent;
 	uint64_t digest; /* of the view whose homes know this agent's flows */
 };
 
--- a/include/jujube/relay.h
+++ b/include/jujube/relay.h
@@ -29,6 +29,7 @@
 
 struct rly {
 	struct rt rt;
+	uint64_t data_centre; /* of this balancer; its agents are homes first */
 	pthread_mutex_t lock;
 	struct rly_suspect suspects[RLY_SUSPECTS];
 };
--- a/include/jujube/view.h
+++ b/include/jujube/view.h
@@ -3,8 +3,8 @@
  *
  * Built from the table and the member list whenever one of them changes,
  * published by pointer (liburcu in the daemons) and never changed again.
- * Services are sorted by id, agents by service and id, so that processes
- * that know the same facts hold the same view.
+ * Services are sorted by id, agents by service, data centre and id, so that
+ * processes that know the same facts hold the same view.
  */
 #ifndef JUJUBE_VIEW_H
 #define JUJUBE_VIEW_H
@@ -15,6 +15,8 @@
 
 /* Flows of the platform's callers live for 60 s at most. */
 #define VIW_ABSENT_MS 65000
+/* With fewer agents, a data centre's flows would all lose track with one. */
+#define VIW_LOCAL_HOMES 4
 
 struct viw_agent {
 	uint64_t id;
@@ -114,13 +116,22 @@
 /*
  * Agents that keep track of a relayed flow, as positions in view->agents, best
  * first: ranks among all that may hold flows, whether they may open any or
- * not, so that a drain or a cold start moves none.
+ * not, so that a drain or a cold start moves none. Those of the data centre
+ * that the flow comes in through go first when it has VIW_LOCAL_HOMES of them,
+ * so that its packets need not cross to another; the last is then elsewhere.
  */
 int viw_homes(const struct viw *view, const struct viw_service *service,
-	      uint64_t key, int *out, int max);
+	      uint64_t key, uint64_t data_centre, int *out, int max);
 const struct viw_agent *viw_home(const struct viw *view,
 				 const struct viw_service *service,
-				 uint64_t key);
+				 uint64_t key, uint64_t data_centre);
+
+/* A service's agents in a data centre: agents[*first .. *first + count). */
+uint32_t viw_local(const struct viw *view, const struct viw_service *service,
+		   uint64_t data_centre, uint32_t *first);
+
+/* Data centre of a balancer, 0: it is not known. */
+uint64_t viw_entry_centre(const struct viw *view, uint64_t balancer);
 
 /*
  * Service that new flows of a route's address go to, drawn by weight from the
--- a/src/core/flow.c
+++ b/src/core/flow.c
@@ -192,6 +192,7 @@
 	if (head->payload &&
 	    (int32_t)(head->seq + head->payload - flow->caller_next) > 0) {
 		flow->caller_next = head->seq + head->payload;
+		flow->asked_at = work->call->now;
 		flw_begin_work(flw, flow, work->call->now);
 	}
 	flow->caller_closed |= head->closes;
@@ -371,6 +372,11 @@
 	if (head->payload && flow->in_hand)
 		met_time(flw->desc.met, MET_TIME_ANSWER,
 			 elapsed_us(flow->work_since, call->now));
+	if (head->payload && flow->asked_at) {
+		flw_note_speed(flw, elapsed_us(flow->asked_at, call->now),
+			       call->now);
+		flow->asked_at = 0;
+	}
 	if (head->payload || head->closes || head->resets)
 		flw_end_work(flw, flow);
 	if (head->resets || (flow->caller_closed && flow->target_closed))
--- a/src/core/flow_internal.h
+++ b/src/core/flow_internal.h
@@ -72,6 +72,11 @@
 uint32_t flw_cap(struct flw *flw, const struct viw_service *service,
 		 uint64_t now);
 void flw_note_opening(struct flw *flw, uint64_t now);
+/* An answer began so long after its request. */
+void flw_note_speed(struct flw *flw, uint64_t us, uint64_t now);
+uint32_t flw_typical_us(struct flw *flw, uint64_t now);
+/* The target may be failing: it gets what nobody else has room for. */
+int flw_held_back(struct flw *flw, uint64_t now);
 void flw_note_unanswered(struct flw *flw, uint64_t now);
 
 /* flow.c */
--- a/src/core/flow_place.c
+++ b/src/core/flow_place.c
@@ -17,8 +17,9 @@
 
 #define FILL_SCALE 1000 /* fill is counted in thousandths of the cap */
 #define ELSEWHERE 1 /* added for a target in another data centre */
+#define FILL_MAX 100000
 /* Added for a peer that is avoided: above any fill, it comes last. */
-#define AVOIDED (4 * FILL_SCALE)
+#define AVOIDED (2 * FILL_MAX)
 #define NOBODY UINT32_MAX
 
 /* -- reports ------------------------------------------------------------- */
@@ -54,11 +55,26 @@
 		peer->load = load->in_flight;
 		peer->cap = load->cap;
 		peer->at = call->now;
-		peer->avoided = 0;
+		peer->typical_us = load->median_us;
+		peer->avoided = (uint8_t)load->held_back;
 	}
 	pthread_mutex_unlock(&flw->peer_lock);
 }
 
+/* Peer lock held. */
+static uint32_t median_of_peers(const struct flw *flw, uint64_t now)
+{
+	uint32_t times[FLW_PEERS];
+	uint32_t count = 0;
+	int i;
+
+	for (i = 0; i < FLW_PEERS; i++)
+		if (flw->peers[i].id && flw->peers[i].typical_us &&
+		    now < flw->peers[i].at + FLW_LOAD_FRESH_US)
+			times[count++] = flw->peers[i].typical_us;
+	return spd_median(times, count);
+}
+
 void flw_avoid_peer(struct flw *flw, uint64_t id)
 {
 	int i;
@@ -82,37 +98,45 @@
 	return flw_cap(call->flw, service, call->now);
 }
 
-/* To the next peers of the circle. */
-static void send_load(const struct flw_call *call,
-		      const struct viw_service *service,
-		      const struct viw_agent *me, uint32_t cap, uint32_t first,
-		      uint32_t most)
+/*
+ * Who hears of this agent's load, as positions in the view. In a small service
+ * that is everybody. In a large one the agents of its data centre do, which
+ * are the homes of most flows there, and a few elsewhere, drawn by hash: each
+ * home then knows as many of other data centres, for when its own is full.
+ */
+static uint32_t audience(const struct viw *view,
+			 const struct viw_service *service,
+			 const struct viw_agent *me, int far, uint32_t *out)
 {
-	struct flw *flw = call->flw;
-	Jj__Envelope env = JJ__ENVELOPE__INIT;
-	Jj__Load load = JJ__LOAD__INIT;
+	uint32_t first = service->first;
+	uint32_t count = service->count;
+	int ranks[FLW_LOAD_FAR];
+	uint32_t used = 0;
+	int ranked;
 	uint32_t i;
 
-	load.in_flight = flw->in_hand;
-	load.cap = cap;
-	load.flows = flw->flow_count;
-	env.body_case = JJ__ENVELOPE__BODY_LOAD;
-	env.load = &load;
-	for (i = 0; i < most && i < service->count; i++) {
-		uint32_t at = (first + i) % service->count;
-		const struct viw_agent *to =
-			&call->view->agents[service->first + at];
-
-		if (to != me)
-			flw->desc.hooks.control(flw->desc.hooks.ctx,
-						call->thread, to, &env);
+	if (count > FLW_LOAD_ALL)
+		count = viw_local(view, service, me->data_centre, &first);
+	for (i = 0; i < count && used < FLW_PEERS - FLW_LOAD_FAR; i++)
+		if (&view->agents[first + i] != me)
+			out[used++] = first + i;
+	if (!far || count == service->count)
+		return used;
+	ranked = rnk_order(view->homes + service->first, (int)service->count,
+			   me->id, ranks, FLW_LOAD_FAR);
+	for (i = 0; i < (uint32_t)ranked; i++) {
+		uint32_t at = service->first + (uint32_t)ranks[i];
+
+		if (view->agents[at].data_centre != me->data_centre)
+			out[used++] = at;
 	}
+	return used;
 }
 
 /*
- * A change, and every FLW_LOAD_MAX_US the state as it is, goes to all peers,
- * a few in a round. A change meanwhile begins the circle anew from where it
- * is, so that no peer is left out.
+ * A change goes to those near, and every FLW_LOAD_MAX_US the state as it is to
+ * all, a few in a round. A change meanwhile begins the circle anew from where
+ * it is, so that nobody is left out.
  */
 void flw_report_load(const struct flw_call *call)
 {
@@ -120,30 +144,52 @@
 	const struct viw_service *service =
 		viw_service(call->view, flw->service);
 	const struct viw_agent *me = viw_agent(call->view, flw->desc.id);
+	uint32_t to[FLW_PEERS];
+	Jj__Envelope env = JJ__ENVELOPE__INIT;
+	Jj__Load load = JJ__LOAD__INIT;
+	uint32_t count;
 	uint32_t first;
 	uint32_t most;
-	uint32_t cap;
+	uint32_t i;
+	int full;
 
 	if (!service || !me || call->now < flw->load_sent_at + FLW_LOAD_US)
 		return;
-	cap = offered_cap(call, service, me);
+	load.cap = offered_cap(call, service, me);
+	load.in_flight = flw->in_hand;
+	load.flows = flw->flow_count;
+	load.median_us = flw_typical_us(flw, call->now);
+	load.held_back = flw_held_back(flw, call->now);
 	pthread_mutex_lock(&flw->peer_lock);
-	if (flw->in_hand != flw->load_sent || cap != flw->cap_sent ||
-	    call->now >= flw->load_full_at + FLW_LOAD_MAX_US) {
-		flw->load_left = service->count;
+	full = call->now >= flw->load_full_at + FLW_LOAD_MAX_US;
+	count = audience(call->view, service, me, full || flw->load_far, to);
+	if (full) {
 		flw->load_full_at = call->now;
-		flw->load_sent = flw->in_hand;
-		flw->cap_sent = cap;
+		flw->load_far = count;
+		flw->peers_us = median_of_peers(flw, call->now);
+	}
+	if (full || load.in_flight != flw->load_sent ||
+	    load.cap != flw->cap_sent || load.held_back != flw->held_sent) {
+		flw->load_left = count;
+		flw->load_sent = load.in_flight;
+		flw->cap_sent = load.cap;
+		flw->held_sent = (uint8_t)load.held_back;
 	}
 	most = flw->load_left < FLW_LOAD_PEERS ? flw->load_left :
 						 FLW_LOAD_PEERS;
 	first = flw->load_next;
 	flw->load_next += most;
 	flw->load_left -= most;
+	flw->load_far -= most < flw->load_far ? most : flw->load_far;
 	if (most)
 		flw->load_sent_at = call->now;
 	pthread_mutex_unlock(&flw->peer_lock);
-	send_load(call, service, me, cap, first, most);
+	env.body_case = JJ__ENVELOPE__BODY_LOAD;
+	env.load = &load;
+	for (i = 0; i < most && count; i++)
+		flw->desc.hooks.control(
+			flw->desc.hooks.ctx, call->thread,
+			&call->view->agents[to[(first + i) % count]], &env);
 }
 
 /* -- choosing ------------------------------------------------------------ */
@@ -158,17 +204,6 @@
 	return 0;
 }
 
-static uint64_t entry_data_centre(const struct flw_work *work)
-{
-	const struct viw *view = work->call->view;
-	uint32_t i;
-
-	for (i = 0; i < view->balancer_count; i++)
-		if (view->balancers[i].id == work->packet->via_id)
-			return view->balancers[i].data_centre;
-	return 0;
-}
-
 /*
  * A caller's later copy is late already: it takes a slot that would be idle,
  * and no place in line before fresh ones.
@@ -180,12 +215,18 @@
 	return work->head.repeat && cap > queue ? cap - queue : cap;
 }
 
-static uint32_t fill(uint32_t load, uint32_t cap, const struct viw_agent *agent,
-		     uint64_t data_centre)
+/* weight: by what work in hand counts there, in percent */
+static uint32_t fill(uint32_t load, uint32_t cap, uint32_t weight,
+		     const struct viw_agent *agent, uint64_t data_centre)
 {
+	uint64_t expected;
+
 	if (load >= cap)
 		return NOBODY;
-	return (load + 1) * FILL_SCALE / cap +
+	expected = (uint64_t)(load + 1) * FILL_SCALE / cap * weight / 100;
+	if (expected > FILL_MAX)
+		expected = FILL_MAX;
+	return (uint32_t)expected +
 	       (agent->data_centre == data_centre ? 0 : ELSEWHERE);
 }
 
@@ -195,7 +236,8 @@
 {
 	const struct flw_call *call = work->call;
 	struct flw *flw = call->flw;
-	uint64_t data_centre = entry_data_centre(work);
+	uint64_t data_centre =
+		viw_entry_centre(work->call->view, work->packet->via_id);
 	const struct viw_agent *best = NULL;
 	struct flw_peer *chosen = NULL;
 	int i;
@@ -213,7 +255,8 @@
 		    &call->view->services[agent->service] != work->service ||
 		    was_tried(work, peer->id))
 			continue;
-		at = fill(peer->load, room_for(work, peer->cap), agent,
+		at = fill(peer->load, room_for(work, peer->cap),
+			  spd_weight(peer->typical_us, flw->peers_us), agent,
 			  data_centre);
 		if (at != NOBODY && peer->avoided)
 			at += AVOIDED;
@@ -233,12 +276,18 @@
 {
 	struct flw *flw = work->call->flw;
 	uint64_t now = work->call->now;
+	uint32_t weight = spd_weight(flw_typical_us(flw, now), flw->peers_us);
+	uint32_t at;
 
 	if (flw_cannot_open(flw, work->service, work->me, now))
 		return NOBODY;
-	return fill(flw->in_hand,
-		    room_for(work, flw_cap(flw, work->service, now)), work->me,
-		    entry_data_centre(work));
+	at = fill(flw->in_hand,
+		  room_for(work, flw_cap(flw, work->service, now)), weight,
+		  work->me,
+		  viw_entry_centre(work->call->view, work->packet->via_id));
+	if (at != NOBODY && flw_held_back(flw, now))
+		at += AVOIDED;
+	return at;
 }
 
 /* -- opening ------------------------------------------------------------- */
@@ -354,18 +403,16 @@
 	return 1;
 }
 
-/* Passes the opening on to the best peer that has not had it. */
-static void pass_on(const struct flw_work *work, const char *why)
+/* Passes it on to the best peer below limit that has not had it; 0: none. */
+static int pass_to_peer(const struct flw_work *work, uint32_t limit)
 {
 	uint64_t tried[FLW_TRIED_MAX];
 	Jj__Packet packet = *work->packet;
 	struct flw_work next = *work;
 	const struct viw_agent *to;
 
-	if (packet.n_tried >= FLW_TRIED_MAX) {
-		wait_or_refuse(work, why);
-		return;
-	}
+	if (packet.n_tried >= FLW_TRIED_MAX)
+		return 0;
 	if (packet.n_tried)
 		memcpy(tried, packet.tried, packet.n_tried * sizeof(*tried));
 	tried[packet.n_tried++] = work->me->id;
@@ -373,22 +420,30 @@
 	if (!packet.origin)
 		packet.origin = work->me->id;
 	next.packet = &packet;
-	to = least_peer(&next, NOBODY);
-	if (!to) {
-		wait_or_refuse(work, why);
-		return;
-	}
+	to = least_peer(&next, limit);
+	if (!to)
+		return 0;
 	remember(work, to->id);
 	flw_forward(&next, to, FLW_PLACED);
+	return 1;
+}
+
+static void pass_on(const struct flw_work *work, const char *why)
+{
+	if (!pass_to_peer(work, NOBODY))
+		wait_or_refuse(work, why);
 }
 
 void flw_open_or_pass(const struct flw_work *work)
 {
 	const char *why = flw_cannot_open(work->call->flw, work->service,
 					  work->me, work->call->now);
+	uint32_t own = why ? NOBODY : own_fill(work);
 
-	if (!why && own_fill(work) == NOBODY)
+	if (!why && own == NOBODY)
 		why = "target is full";
+	if (!why && own >= AVOIDED && pass_to_peer(work, AVOIDED))
+		return;
 	if (!why && !open_here(work))
 		why = "flow table is full";
 	if (why)
--- a/src/core/flow_search.c
+++ b/src/core/flow_search.c
@@ -196,7 +196,8 @@
 		struct flw_work search = *work;
 
 		service = next_service(work, service);
-		home = viw_home(view, service, packet.flow);
+		home = viw_home(view, service, packet.flow,
+				viw_entry_centre(view, packet.via_id));
 		if (!home || service == work->service)
 			continue;
 		packet.service = service->id;
--- a/src/core/flow_target.c
+++ b/src/core/flow_target.c
@@ -56,6 +56,7 @@
 			report->cold_ms, report->slots);
 	if (fresh_start) {
 		target->from_birth = report->seq <= FIRST_SEQ;
+		target->speed = (struct spd){ 0 };
 		target->unanswered = 0;
 		target->gone = 0;
 		target->cold_until = 0;
@@ -242,6 +243,48 @@
 	pthread_mutex_unlock(&flw->target_lock);
 }
 
+void flw_note_speed(struct flw *flw, uint64_t us, uint64_t now)
+{
+	struct flw_target *target = &flw->target;
+	int before;
+
+	pthread_mutex_lock(&flw->target_lock);
+	before = spd_too_fast(&target->speed, now);
+	spd_note(&target->speed, us > UINT32_MAX ? UINT32_MAX : (uint32_t)us,
+		 flw->peers_us, now);
+	if (spd_too_fast(&target->speed, now) != before)
+		log_put(flw->desc.log, EV_TARGET_HELD,
+			"target=%s held=%d typical_us=%u usual_us=%u "
+			"peers_us=%u",
+			target->said.id, !before,
+			spd_typical_us(&target->speed, now),
+			target->speed.usual_us, (unsigned)flw->peers_us);
+	pthread_mutex_unlock(&flw->target_lock);
+}
+
+uint32_t flw_typical_us(struct flw *flw, uint64_t now)
+{
+	uint32_t us;
+
+	pthread_mutex_lock(&flw->target_lock);
+	us = spd_typical_us(&flw->target.speed, now);
+	pthread_mutex_unlock(&flw->target_lock);
+	return us;
+}
+
+int flw_held_back(struct flw *flw, uint64_t now)
+{
+	const struct flw_target *target = &flw->target;
+	uint64_t last;
+	int held;
+
+	pthread_mutex_lock(&flw->target_lock);
+	last = target->cold_ring[(target->cold_next - 1) % FLW_COLD_RING];
+	held = spd_too_fast(&target->speed, now) && now < last + FLW_PROBE_US;
+	pthread_mutex_unlock(&flw->target_lock);
+	return held;
+}
+
 void flw_note_unanswered(struct flw *flw, uint64_t now)
 {
 	struct flw_target *target = &flw->target;
--- a/src/core/flow_tell.c
+++ b/src/core/flow_tell.c
@@ -26,6 +26,23 @@
 				   &env);
 }
 
+static const struct viw_agent *home_of(const struct flw_call *call,
+				       const struct flw_flow *flow)
+{
+	const struct viw_service *service =
+		viw_service(call->view, call->flw->service);
+
+	return service ? viw_home(call->view, service, flow->key,
+				  viw_entry_centre(call->view, flow->via_id)) :
+			 NULL;
+}
+
+/* Tells an agent's start from every other; 0: none. */
+static uint64_t life_of(const struct viw_agent *agent)
+{
+	return agent ? agent->id ^ agent->incarnation : 0;
+}
+
 /*
  * The home, and the agent that placed the flow here: balancers that avoid a
  * home, or know other agents, send openings to one that ranks lower by this
@@ -34,16 +51,14 @@
 void flw_tell_placers(const struct flw_call *call, struct flw_flow *flow)
 {
 	struct flw *flw = call->flw;
-	const struct viw_service *service =
-		viw_service(call->view, flw->service);
-	const struct viw_agent *home =
-		service ? viw_home(call->view, service, flow->key) : NULL;
+	const struct viw_agent *home = home_of(call, flow);
 	const struct viw_agent *origin =
 		flow->origin ? viw_agent(call->view, flow->origin) : NULL;
 	Jj__Holding item;
 	Jj__Holding *items = &item;
 
 	flw_fill_holding(&item, flw, flow);
+	flow->told_home = life_of(home);
 	if (home && home->id != flw->desc.id)
 		tell(call, home->ip, home->data_port, &items, 1);
 	if (origin && origin != home && origin->id != flw->desc.id)
@@ -129,8 +144,10 @@
 		for (j = 0; j < shard->flow_high; j++) {
 			struct flw_flow *flow = &shard->flows[j];
 
-			if (flow->key && (flow->state == FLW_ANSWERED ||
-					  flow->state == FLW_OPEN))
+			if (flow->key &&
+			    (flow->state == FLW_ANSWERED ||
+			     flow->state == FLW_OPEN) &&
+			    life_of(home_of(call, flow)) != flow->told_home)
 				flw_tell_placers(call, flow);
 		}
 		pthread_mutex_unlock(&shard->lock);
--- a/src/core/rank.c
+++ b/src/core/rank.c
@@ -50,6 +50,14 @@
 	return first;
 }
 
+int rnk_before(const struct rnk_node *a, const struct rnk_node *b, uint64_t key)
+{
+	double x = score(a, key);
+	double y = score(b, key);
+
+	return x < y || (x == y && a->id < b->id);
+}
+
 #define RNK_ORDER_MAX 16
 
 int rnk_order(const struct rnk_node *nodes, int count, uint64_t key, int *out,
--- a/src/core/relay.c
+++ b/src/core/relay.c
@@ -79,7 +79,8 @@
 					    unsigned rank)
 {
 	int homes[RLY_HOMES];
-	int count = viw_homes(view, service, key, homes, RLY_HOMES);
+	int count = viw_homes(view, service, key, rly->data_centre, homes,
+			      RLY_HOMES);
 	const struct viw_agent *last = NULL;
 	int i;
 
@@ -123,7 +124,7 @@
 	}
 	if (packet->repeat == 1) {
 		const struct viw_agent *home =
-			viw_home(view, choice->service, key);
+			viw_home(view, choice->service, key, rly->data_centre);
 
 		if (home)
 			blame(rly, home->id, now_ms);
@@ -163,7 +164,8 @@
 {
 	const struct viw_agent *agent = viw_agent(view, holder);
 	const struct viw_agent *home =
-		agent ? viw_home(view, &view->services[agent->service], key) :
+		agent ? viw_home(view, &view->services[agent->service], key,
+				 rly->data_centre) :
 			NULL;
 
 	rt_learn(&rly->rt, key, holder, now_ms);
--- a/src/core/view.c
+++ b/src/core/view.c
@@ -14,13 +14,15 @@
 	return (x->id > y->id) - (x->id < y->id);
 }
 
-static int by_service_and_id(const void *a, const void *b)
+static int by_place(const void *a, const void *b)
 {
 	const struct viw_agent *x = a;
 	const struct viw_agent *y = b;
 
 	if (x->service != y->service)
 		return x->service > y->service ? 1 : -1;
+	if (x->data_centre != y->data_centre)
+		return x->data_centre > y->data_centre ? 1 : -1;
 	return (x->id > y->id) - (x->id < y->id);
 }
 
@@ -258,8 +260,7 @@
 		else if (member->role == JJ__ROLE__ROLE_BALANCER)
 			add_balancer(view, tbl, member);
 	}
-	qsort(view->agents, view->agent_count, sizeof(*view->agents),
-	      by_service_and_id);
+	qsort(view->agents, view->agent_count, sizeof(*view->agents), by_place);
 	qsort(view->absent, view->absent_count, sizeof(*view->absent),
 	      by_agent_id);
 	qsort(view->balancers, view->balancer_count, sizeof(*view->balancers),
@@ -389,26 +390,97 @@
 	return used;
 }
 
-int viw_homes(const struct viw *view, const struct viw_service *service,
-	      uint64_t key, int *out, int max)
+uint32_t viw_local(const struct viw *view, const struct viw_service *service,
+		   uint64_t data_centre, uint32_t *first)
 {
-	int used = rnk_order(view->homes + service->first, (int)service->count,
-			     key, out, max);
+	uint32_t end = service->first + service->count;
+	uint32_t last;
+
+	*first = service->first;
+	while (*first < end && view->agents[*first].data_centre != data_centre)
+		++*first;
+	last = *first;
+	while (last < end && view->agents[last].data_centre == data_centre)
+		last++;
+	return last - *first;
+}
+
+uint64_t viw_entry_centre(const struct viw *view, uint64_t balancer)
+{
+	struct viw_balancer key = { .id = balancer };
+	const struct viw_balancer *found =
+		bsearch(&key, view->balancers, view->balancer_count,
+			sizeof(*view->balancers), by_balancer_id);
+
+	return found ? found->data_centre : 0;
+}
+
+/* Ranks among agents[first .. first + count) that may hold flows. */
+static int rank_homes(const struct viw *view, uint32_t first, uint32_t count,
+		      uint64_t key, int *out, int max)
+{
+	int used = rnk_order(view->homes + first, (int)count, key, out, max);
 	int i;
 
 	for (i = 0; i < used; i++)
-		out[i] += (int)service->first;
+		out[i] += (int)first;
+	return used;
+}
+
+/* Of the data centre; 0: it has too few. */
+static uint32_t local_homes(const struct viw *view,
+			    const struct viw_service *service,
+			    uint64_t data_centre, uint32_t *first)
+{
+	uint32_t count = viw_local(view, service, data_centre, first);
+	uint32_t able = 0;
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
+		able += view->homes[*first + i].weight > 0;
+	return able < VIW_LOCAL_HOMES ? 0 : count;
+}
+
+int viw_homes(const struct viw *view, const struct viw_service *service,
+	      uint64_t key, uint64_t data_centre, int *out, int max)
+{
+	uint32_t first;
+	uint32_t count = local_homes(view, service, data_centre, &first);
+	uint32_t end = service->first + service->count;
+	int before[1];
+	int after[1];
+	int used;
+
+	if (!count)
+		return rank_homes(view, service->first, service->count, key,
+				  out, max);
+	used = rank_homes(view, first, count, key, out, max > 1 ? max - 1 : 1);
+	if (used == max)
+		return used;
+	/* The best elsewhere: of those before and those after the span. */
+	if (!rank_homes(view, service->first, first - service->first, key,
+			before, 1))
+		return used + rank_homes(view, first + count,
+					 end - first - count, key, out + used,
+					 1);
+	if (!rank_homes(view, first + count, end - first - count, key, after,
+			1) ||
+	    rnk_before(&view->homes[before[0]], &view->homes[after[0]], key))
+		out[used++] = before[0];
+	else
+		out[used++] = after[0];
 	return used;
 }
 
 const struct viw_agent *viw_home(const struct viw *view,
 				 const struct viw_service *service,
-				 uint64_t key)
+				 uint64_t key, uint64_t data_centre)
 {
-	int at = rnk_first(view->homes + service->first, (int)service->count,
-			   key);
+	int at;
 
-	return at < 0 ? NULL : &view->agents[service->first + (uint32_t)at];
+	return viw_homes(view, service, key, data_centre, &at, 1) ?
+		       &view->agents[at] :
+		       NULL;
 }
 
 /* First route of an address, or where it would be; the end is *end. */
--- a/src/io/ingress.c
+++ b/src/io/ingress.c
@@ -267,6 +267,7 @@
 	ing->started_ms = net_now_ms();
 	if (rly_init(&ing->rly, &desc->cache) != JJ_OK)
 		return st_fail(err, JJ_SYSTEM, "out of memory");
+	ing->rly.data_centre = rnk_name_id(nod->desc.data_centre);
 	ing->threads = calloc(desc->threads, sizeof(*ing->threads));
 	if (!ing->threads)
 		return st_fail(err, JJ_SYSTEM, "out of memory");
--- a/src/io/registry.c
+++ b/src/io/registry.c
@@ -142,8 +142,10 @@
 static enum reg_status meet_members(struct reg *reg)
 {
 	struct reg_items items;
+	/* The first look only tells of this process's former life. */
+	int stale = reg->step == REG_LOOK;
 	enum reg_status status =
-		list_all(reg, reg->desc.store.members, 0, &items);
+		list_all(reg, reg->desc.store.members, stale, &items);
 	size_t i;
 
 	for (i = 0; status == REG_OK && i < items.count; i++) {
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -20,6 +20,7 @@
 #include "jujube/rank.h"
 #include "jujube/route.h"
 #include "jujube/settings.h"
+#include "jujube/speed.h"
 }
 
 /* -- map ----------------------------------------------------------------- */
@@ -399,6 +400,88 @@
 		  std::string::npos);
 }
 
+/* -- speed --------------------------------------------------------------- */
+
+struct speed_case {
+	const char *name;
+	uint32_t before_us; /* each of 40 answers */
+	uint32_t after_us; /* each of the next answers */
+	uint32_t answers;
+	uint32_t peers_us; /* 0: not known */
+	int too_fast;
+	uint32_t weight;
+};
+
+static const speed_case speeds[] = {
+	{ "as before", 30000, 30000, 10, 30000, 0, 100 },
+	{ "one short answer", 30000, 1000, 1, 30000, 0, 100 },
+	{ "two short answers", 30000, 1000, 2, 30000, 0, 100 },
+	{ "three of five are short", 30000, 1000, 3, 30000, 1, 100 },
+	{ "short, and peers are not known", 30000, 1000, 5, 0, 0, 100 },
+	{ "short, as its peers are now", 30000, 1000, 5, 1500, 0, 100 },
+	{ "always short", 1000, 1000, 10, 30000, 0, 100 },
+	{ "a third of the usual time", 30000, 10000, 9, 30000, 0, 100 },
+	{ "two long answers", 30000, 180000, 2, 30000, 0, 100 },
+	{ "three of five are long", 30000, 180000, 3, 30000, 0, 600 },
+	{ "somewhat longer", 30000, 50000, 9, 30000, 0, 100 },
+	{ "no time at all", 30000, 0, 5, 30000, 1, 100 },
+};
+
+TEST(Speed, JudgesByTheMedianOfAFew)
+{
+	for (auto &c : speeds) {
+		SCOPED_TRACE(c.name);
+		spd spd = {};
+		uint64_t now = 1;
+
+		for (int i = 0; i < 40; i++)
+			spd_note(&spd, c.before_us, c.peers_us, now += 1000);
+		for (uint32_t i = 0; i < c.answers; i++)
+			spd_note(&spd, c.after_us, c.peers_us, now += 1000);
+		EXPECT_EQ(spd_too_fast(&spd, now), c.too_fast);
+		EXPECT_EQ(spd_weight(spd_typical_us(&spd, now), c.peers_us),
+			  c.weight);
+	}
+}
+
+TEST(Speed, ForgetsASlowTargetAndReleasesAFastOne)
+{
+	spd spd = {};
+	uint64_t now = 1;
+
+	for (int i = 0; i < 40; i++)
+		spd_note(&spd, 30000, 30000, now += 1000);
+	for (int i = 0; i < 5; i++)
+		spd_note(&spd, 240000, 30000, now += 1000);
+	EXPECT_EQ(spd_weight(spd_typical_us(&spd, now), 30000), 800u);
+	EXPECT_EQ(spd_weight(spd_typical_us(&spd, now + SPD_HALVES_US), 30000),
+		  400u);
+	EXPECT_EQ(spd_weight(spd_typical_us(&spd, now + 3 * SPD_HALVES_US),
+			     30000),
+		  100u);
+	spd = {};
+	for (int i = 0; i < 40; i++)
+		spd_note(&spd, 30000, 30000, now += 1000);
+	for (int i = 0; i < 5; i++)
+		spd_note(&spd, 1000, 30000, now += 1000);
+	EXPECT_TRUE(spd_too_fast(&spd, now + SPD_HELD_US - 10000));
+	now += SPD_HELD_US;
+	spd_note(&spd, 1000, 30000, now += 1000);
+	EXPECT_FALSE(spd_too_fast(&spd, now));
+	spd_note(&spd, 1000, 30000, now += 1000);
+	EXPECT_FALSE(spd_too_fast(&spd, now));
+}
+
+/* Fewer than three answers say nothing. */
+RC_GTEST_PROP(Speed, MedianIsThatOfASortedList, (std::vector<uint32_t> values))
+{
+	std::vector<uint32_t> sorted = values;
+
+	std::sort(sorted.begin(), sorted.end());
+	RC_ASSERT(spd_median(values.data(), (uint32_t)values.size()) ==
+		  (sorted.size() < SPD_KNOWN ? 0 : sorted[sorted.size() / 2]));
+}
+
 /* -- events -------------------------------------------------------------- */
 
 TEST(Events, CatalogueAndCodeAgree)
--- a/tests/flow_test.cc
+++ b/tests/flow_test.cc
@@ -156,8 +156,9 @@
 	uint64_t key = fleet.caller(7);
 	const struct viw_service *service =
 		viw_service(fleet.view.get(), rnk_name_id("desk"));
-	relay_agent *home =
-		fleet.agent_of(viw_home(fleet.view.get(), service, key)->id);
+	relay_agent *home = fleet.agent_of(
+		viw_home(fleet.view.get(), service, key, rnk_name_id("dc-a"))
+			->id);
 
 	home->alive = false; /* paused: takes nothing, loses nothing */
 	fleet.send(key, 0);
@@ -339,8 +340,9 @@
 	fleet.balancer("balancer-3"); /* knows the home only */
 	service = viw_service(holder.view.get(), rnk_name_id("desk"));
 	for (auto key : keys) {
-		if (viw_home(holder.view.get(), service, key)->id ==
-		    rnk_name_id(holder.name.c_str()))
+		if (viw_home(holder.view.get(), service, key,
+			     rnk_name_id("dc-a"))
+			    ->id == rnk_name_id(holder.name.c_str()))
 			continue;
 		fleet.request(key, 2);
 		fleet.run(60000);
@@ -774,6 +776,226 @@
 	EXPECT_GE(fleet.reports[id], 100u);
 }
 
+/* Callers that each open a flow for one request, at an even rate. */
+struct steady_load {
+	desk_fleet &fleet;
+	uint32_t next = 1000;
+	std::vector<uint64_t> keys;
+
+	void run(uint64_t us, uint32_t per_s)
+	{
+		uint64_t gap = SECOND / per_s;
+
+		for (uint64_t at = 0; at < us; at += gap) {
+			uint64_t key = fleet.caller(next++);
+
+			keys.push_back(key);
+			fleet.send(key, next);
+			fleet.at(6000, [this, key, via = next] {
+				if (fleet.callers[key].open)
+					fleet.request(key, via);
+			});
+			fleet.run(gap);
+		}
+	}
+	/* Openings that an agent's target was given since it was cleared. */
+	size_t share(size_t number)
+	{
+		return fleet.agents[number]->target->opened_at.size();
+	}
+	void clear()
+	{
+		for (auto &agent : fleet.agents)
+			agent->target->opened_at.clear();
+	}
+};
+
+/*
+ * Two of seven targets become six times slower for six seconds, at a load
+ * where all have work in hand: from the second second on they get little.
+ */
+TEST(Load, ASlowTargetGetsWhatItCanAnswerInTime)
+{
+	desk_fleet fleet(51, 7);
+	steady_load load{ fleet };
+
+	for (auto &agent : fleet.agents)
+		agent->target->work_us = 30000;
+	load.run(3 * SECOND, 300);
+	fleet.agents[0]->target->work_us = 180000;
+	fleet.agents[1]->target->work_us = 180000;
+	load.run(1 * SECOND, 300);
+	load.clear();
+	load.run(5 * SECOND, 300);
+	/* 1% of 1,500 would be late. */
+	EXPECT_LE(load.share(0) + load.share(1), 15u);
+	/* The rest does not follow one of them. */
+	for (size_t i = 2; i < 7; i++)
+		EXPECT_LT(load.share(i), 500u);
+	/* It is found again when it has recovered, by a few requests. */
+	fleet.agents[0]->target->work_us = 30000;
+	load.run(3 * SECOND, 300);
+	load.clear();
+	load.run(2 * SECOND, 300);
+	EXPECT_GT(load.share(0), 40u);
+	EXPECT_LE(load.share(1), 6u);
+}
+
+/*
+ * Targets that fail at once, while they say that they are well, never have
+ * work in hand. A tenth of the even share goes there, to see them recover.
+ */
+TEST(Load, ATargetThatIsSuddenlyFastDrawsNoLoad)
+{
+	desk_fleet fleet(52, 10);
+	steady_load load{ fleet };
+
+	for (auto &agent : fleet.agents)
+		agent->target->work_us = 35000;
+	load.run(3 * SECOND, 400);
+	fleet.agents[2]->target->work_us = 500;
+	load.run(SECOND, 400);
+	load.clear();
+	load.run(5 * SECOND, 400);
+	EXPECT_LE(load.share(2), 5 * SECOND / FLW_PROBE_US + 10);
+	EXPECT_GE(load.share(2), 5u);
+	fleet.agents[2]->target->work_us = 35000;
+	load.run(4 * SECOND, 400);
+	load.clear();
+	load.run(2 * SECOND, 400);
+	EXPECT_GT(load.share(2), 40u);
+}
+
+/* A target with a cache, or small answers, has always been fast. */
+TEST(Load, ATargetThatHasAlwaysBeenFastIsNotHeldBack)
+{
+	desk_fleet fleet(53, 10);
+	steady_load load{ fleet };
+
+	for (auto &agent : fleet.agents)
+		agent->target->work_us = 35000;
+	fleet.agents[2]->target->work_us = 2000;
+	load.run(3 * SECOND, 400);
+	load.clear();
+	load.run(2 * SECOND, 400);
+	EXPECT_GE(load.share(2), 80u); /* the even share of 800 */
+}
+
+/* All become fast together, as by a new version: nobody is held back. */
+TEST(Load, WhenAllBecomeFastNobodyIsHeldBack)
+{
+	desk_fleet fleet(54, 4);
+	steady_load load{ fleet };
+
+	for (auto &agent : fleet.agents)
+		agent->target->work_us = 35000;
+	load.run(3 * SECOND, 200);
+	for (auto &agent : fleet.agents)
+		agent->target->work_us = 1000;
+	load.run(2 * SECOND, 200);
+	load.clear();
+	load.run(2 * SECOND, 200);
+	for (size_t i = 0; i < 4; i++)
+		EXPECT_GE(load.share(i), 30u);
+}
+
+/* Six data centres of ten agents each, as a fleet of hundreds has them. */
+struct wide_fleet : relay_fleet {
+	explicit wide_fleet(uint64_t seed) : relay_fleet(seed)
+	{
+		rows("config", { service_row("desk"),
+				 route_row("r", "desk", "198.18.0.1:443") });
+		balancer("balancer-1"); /* in dc-a */
+		for (int i = 0; i < 60; i++)
+			agent("agent-" + std::to_string(i), "desk",
+			      std::string("dc-") + (char)('a' + i % 6));
+		run(700000);
+	}
+	uint64_t open_one(uint32_t number)
+	{
+		uint64_t key = caller(number);
+
+		send(key, 0);
+		run(6000);
+		request(key, 0);
+		run(4000);
+		return key;
+	}
+};
+
+TEST(Wide, FlowsStayInTheirCallersDataCentre)
+{
+	wide_fleet fleet(61);
+	uint64_t centre = rnk_name_id("dc-a");
+	const struct viw_service *service =
+		viw_service(fleet.view.get(), rnk_name_id("desk"));
+	std::map<std::string, int> homes;
+
+	for (uint32_t i = 0; i < 40; i++) {
+		uint64_t key = fleet.open_one(i);
+		const struct viw_agent *home =
+			viw_home(fleet.view.get(), service, key, centre);
+
+		EXPECT_EQ(home->data_centre, centre);
+		homes[std::to_string(home->id)]++;
+		EXPECT_EQ(fleet.holder(key)->data_centre, "dc-a");
+	}
+	EXPECT_GE(homes.size(), 6u); /* of 10 */
+}
+
+/* Its own data centre is taken out: the others know and serve them all. */
+TEST(Wide, FlowsGoElsewhereWhenTheirDataCentreIsOut)
+{
+	wide_fleet fleet(62);
+	std::set<std::string> centres;
+
+	fleet.rows("op/evacuate/dc-a", { fleet.drained("dc-a") });
+	fleet.run(400000);
+	for (uint32_t i = 0; i < 60; i++) {
+		uint64_t key = fleet.open_one(i);
+
+		ASSERT_TRUE(fleet.callers[key].open);
+		fleet.run(30000);
+		EXPECT_EQ(fleet.callers[key].answers, 1);
+		centres.insert(fleet.holder(key)->data_centre);
+	}
+	EXPECT_EQ(centres.count("dc-a"), 0u);
+	EXPECT_GE(centres.size(), 4u);
+	EXPECT_EQ(fleet.logged("JJ521"), 0u);
+}
+
+/* What an agent tells those elsewhere does not grow with its load. */
+TEST(Wide, LoadReportsCrossDataCentresRarely)
+{
+	wide_fleet fleet(63);
+	relay_agent &agent = *fleet.agents[0];
+
+	fleet.reports_far.clear();
+	for (uint32_t i = 0; i < 100; i++) {
+		agent.core->in_hand = i % 4; /* changes all the time */
+		fleet.run(FLW_LOAD_US);
+	}
+	agent.core->in_hand = 0;
+	EXPECT_GE(fleet.reports_far[agent.name], 30u);
+	EXPECT_LE(fleet.reports_far[agent.name],
+		  (2 * SECOND / FLW_LOAD_MAX_US + 1) * FLW_LOAD_FAR);
+}
+
+/* With few agents, a data centre's flows would all lose track with one. */
+TEST(Wide, HomesAreAnywhereWhereADataCentreHasFewAgents)
+{
+	desk_fleet fleet(64, 6);
+	const struct viw_service *service =
+		viw_service(fleet.view.get(), rnk_name_id("desk"));
+	std::set<uint64_t> homes;
+
+	for (uint64_t key = 1; key < 200; key++)
+		homes.insert(viw_home(fleet.view.get(), service, key,
+				      rnk_name_id("dc-a"))
+				     ->id);
+	EXPECT_EQ(homes.size(), 6u);
+}
+
 /* A caller that was reset, or took another target's answer, holds no slot. */
 TEST(Load, AnAnswerThatNobodyTakesFreesItsPlace)
 {
@@ -881,8 +1103,8 @@
 
 	do
 		key = fleet.caller(number++);
-	while (viw_home(fleet.view.get(), service, key)->id !=
-	       rnk_name_id(name));
+	while (viw_home(fleet.view.get(), service, key, rnk_name_id("dc-a"))
+		       ->id != rnk_name_id(name));
 	return key;
 }
 
--- a/tests/relay_fake.h
+++ b/tests/relay_fake.h
@@ -136,6 +136,7 @@
 	std::vector<std::string> log;
 	uint32_t delay_us = 1000;
 	std::map<uint64_t, uint64_t> reports; /* sent, by agent */
+	std::map<std::string, uint64_t> reports_far; /* to elsewhere */
 	std::map<int, uint64_t> sent; /* messages to processes, by kind */
 	bool lose_notices = false; /* of who holds a flow */
 	bool lose_reports = false; /* of load */
@@ -363,6 +364,7 @@
 		b.core = std::make_unique<rly>();
 		desc.max_flows = 1000;
 		EXPECT_EQ(rly_init(b.core.get(), &desc), JJ_OK);
+		b.core->data_centre = rnk_name_id("dc-a");
 		member(name, JJ__ROLE__ROLE_BALANCER, "", "dc-a",
 		       JJ__PHASE__PHASE_NONE, JJ__LIVENESS__LIVE_ALIVE);
 		publish();
@@ -469,22 +471,20 @@
 		auto *a = (relay_agent *)ctx;
 		uint64_t from = rnk_name_id(a->name.c_str());
 		uint64_t id = to->id;
-		uint32_t load = env->load->in_flight;
-		uint32_t cap = env->load->cap;
+		Jj__Load said = *env->load;
 
 		a->fleet->reports[from]++;
+		if (to->data_centre != rnk_name_id(a->data_centre.c_str()))
+			a->fleet->reports_far[a->name]++;
 		if (a->fleet->lose_reports)
 			return;
-		a->fleet->at(a->fleet->delay_us, [a, from, id, load, cap] {
+		a->fleet->at(a->fleet->delay_us, [a, from, id, said] {
 			relay_agent *peer = a->fleet->agent_of(id);
-			Jj__Load msg = JJ__LOAD__INIT;
 
-			msg.in_flight = load;
-			msg.cap = cap;
 			if (!peer || !peer->alive)
 				return;
 			flw_call call = a->fleet->call_of(*peer);
-			flw_on_load(&call, from, &msg);
+			flw_on_load(&call, from, &said);
 		});
 	}
 
