Lost flows are asked for again by the agents; closed ports; homes that know nobody

- An agent asks again each 180 ms while a doubt is left, with the packet that it kept, for 2 s after the caller's last one.
- An agent that has not heard of its target 0.4 s after its start connects to the target's port once; a closed one means that it holds nothing.

--- a/include/jujube/flow.h
+++ b/include/jujube/flow.h
@@ -78,9 +78,11 @@
 #define FLW_ASK_PACKET 512 /* bytes of a packet that is kept meanwhile */
 /* Two ways between data centres and a busy agent: who is silent is not there. */
 #define FLW_ASK_US 150000
-/* Callers send again after 200 ms: what was not known may be known then. */
+/* What was not known may be known then; a target's heartbeat takes as long. */
 #define FLW_ASK_AGAIN_US 180000
-#define FLW_ROUND_US 2000000 /* a round without packets is over */
+/* Callers send again after 1.6 s at most, or have given up. */
+#define FLW_ASK_KEEP_US 2000000
+#define FLW_ROUND_US 2500000 /* a round without packets is over */
 #define FLW_SPAN (1u << 24) /* bytes of answers on one flow */
 #define FLW_LOAD_US 20000 /* least time between load reports */
 #define FLW_LOAD_MAX_US 300000 /* longest time between load reports */
@@ -239,7 +241,10 @@
 	uint32_t via_ip;
 	uint16_t via_port;
 	uint16_t len;
+	uint64_t since; /* time of the newest packet */
+	uint64_t again_at; /* time of the next round, 0: this one is not over */
 	uint32_t searched; /* services of the address, before this one */
+	uint16_t rounds; /* this one included */
 	uint8_t tried; /* its packets go to agents that do not know */
 	uint8_t not_here; /* surely not at this agent */
 	uint8_t not_held[FLW_PEERS / 8]; /* by agents of the round */
@@ -305,6 +310,7 @@
 	uint64_t cold_ring[FLW_COLD_RING];
 	uint8_t gone; /* it said that it has left */
 	uint8_t from_birth; /* heard of from its first report on */
+	uint8_t absent; /* nothing listens at its address */
 	struct spd speed;
 };
 
@@ -395,6 +401,13 @@
 /* The target says that it has left. JJ_NOT_FOUND: it is another one. */
 enum jj_status flw_on_left(struct flw *flw, const char *id);
 
+/*
+ * Whether the target was heard of; if not, and nothing listens at its address,
+ * it holds nothing.
+ */
+int flw_target_heard(struct flw *flw);
+void flw_target_absent(struct flw *flw);
+
 /* The view changed: new homes hear of this agent's flows. */
 void flw_view_changed(const struct flw_call *call);
 
--- a/include/jujube/log.h
+++ b/include/jujube/log.h
@@ -63,6 +63,8 @@
 	X(523, LOG_WARN_, FLOW_UNHELD, "packet of a flow that nobody holds")   \
 	X(526, LOG_WARN_, TARGET_HELD,                                         \
 	  "target that may be failing held back, or released")                 \
+	X(527, LOG_INFO_, TARGET_ABSENT,                                       \
+	  "nothing listens at the target's address")                           \
 	X(525, LOG_WARN_, PEER_SILENT,                                         \
 	  "chosen agent did not tell of an answer")                            \
 	X(524, LOG_INFO_, ROUTE_UNKNOWN, "no route for an opening packet")     \
--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -108,5 +108,8 @@
 mechanism R31 $core/view.c 's/return able < VIW_LOCAL_HOMES ? 0 : count;/return 0;/' flow 'Wide.FlowsStay*'
 mechanism R32 $core/flow_place.c 's/^	if (!far || count == service->count)/	if (1)/' flow 'Wide.FlowsGoElsewhere*'
 mechanism R33 $core/flow_place.c 's/full || flw->load_far, to);/1, to);/' flow 'Wide.LoadReports*'
+mechanism R34 $core/flow_ask.c 's/if (asked->key \&\& asked->again_at \&\& now >= asked->again_at)/if (0)/' flow 'Sizes/Lost.FlowsOfATarget*'
+mechanism R35 $core/flow_target.c 's/return flw->target.absent ||/return 0 ||/' flow 'Sizes/Lost.FlowsOfATargetWhosePort*'
+mechanism R36 $core/flow_place.c 's/return heard || limit != NOBODY ? best : blind_choice(work);/return best;/' flow 'Opening.GoesOnFrom*'
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
--- a/src/core/flow.c
+++ b/src/core/flow.c
@@ -347,6 +347,7 @@
 	flow->service_ip = head->service_ip;
 	flow->service_port = head->service_port;
 	flow->caller_next = head->ack;
+	flw_forget_asked(call->flw, key);
 	met_add(call->flw->desc.met, MET_ADOPTED, 1);
 	flw_tell_placers(call, flow);
 	flw_tell_balancer(call, flow);
--- a/src/core/flow_ask.c
+++ b/src/core/flow_ask.c
@@ -92,7 +92,8 @@
 {
 	struct flw_verdict verdict = { .asked = round->agent_count,
 				       .searched = asked->searched,
-				       .partial = round->partial };
+				       .partial = round->partial,
+				       .again = asked->rounds > 1 };
 	uint32_t i;
 
 	for (i = 0; i < round->agent_count; i++) {
@@ -170,11 +171,13 @@
 	if (!service || !me)
 		return;
 	for (i = 0; i < round->key_count; i++)
-		keys[i] = round->asked[i].key;
+		if (round->asked[i].key && !round->asked[i].again_at)
+			keys[inquiry.n_flows++] = round->asked[i].key;
+	if (!inquiry.n_flows)
+		return;
 	inquiry.ip = me->ip;
 	inquiry.port = me->data_port;
 	inquiry.flows = keys;
-	inquiry.n_flows = round->key_count;
 	env.body_case = JJ__ENVELOPE__BODY_INQUIRY;
 	env.inquiry = &inquiry;
 	round->asked_at = call->now;
@@ -203,9 +206,12 @@
 	uint64_t try_at[FLW_PEERS];
 };
 
-/* Lock held; the flow is forgotten unless its packets go on trial. */
+/*
+ * Lock held. The flow is forgotten when it is surely lost, and else asked for
+ * again: its caller's next packet may be 1.6 s away.
+ */
 static void conclude(struct flw_round *round, struct flw_asked *asked,
-		     struct outcome *out)
+		     uint64_t now, struct outcome *out)
 {
 	uint32_t i;
 
@@ -216,7 +222,9 @@
 			out->try_at[out->try_count++] = round->agents[i];
 	out->asked = *asked;
 	asked->tried = out->try_count > 0;
-	if (!asked->tried)
+	if (!asked->again_at)
+		asked->again_at = now + FLW_ASK_AGAIN_US;
+	if (!out->verdict.unknown && !out->verdict.silent)
 		asked->key = 0;
 }
 
@@ -285,9 +293,9 @@
 		for (j = 0; j < round->key_count; j++) {
 			struct flw_asked *asked = &round->asked[j];
 
-			if (!asked->key || asked->tried)
+			if (!asked->key || asked->again_at)
 				continue;
-			conclude(round, asked, out);
+			conclude(round, asked, now, out);
 			return 1;
 		}
 	}
@@ -309,6 +317,66 @@
 	}
 }
 
+/* -- asking -------------------------------------------------------------- */
+
+static struct flw_asked *gather(struct flw *flw, uint64_t key, uint64_t now)
+{
+	struct flw_round *round = gathering(flw, now);
+	struct flw_asked *asked = &round->asked[round->key_count++];
+
+	asked->key = key;
+	asked->since = now;
+	asked->again_at = 0;
+	asked->rounds = 1;
+	asked->tried = 0;
+	asked->not_here = 0;
+	memset(asked->not_held, 0, sizeof(asked->not_held));
+	memset(asked->unknown, 0, sizeof(asked->unknown));
+	return asked;
+}
+
+static void gather_again(struct flw *flw, struct flw_asked *asked, uint64_t now)
+{
+	struct flw_asked from = *asked;
+	struct flw_asked *to;
+
+	asked->key = 0;
+	if (now > from.since + FLW_ASK_KEEP_US)
+		return;
+	to = gather(flw, from.key, now);
+	from.again_at = 0;
+	from.rounds++;
+	from.tried = 0;
+	memcpy(from.not_held, to->not_held, sizeof(from.not_held));
+	memcpy(from.unknown, to->unknown, sizeof(from.unknown));
+	*to = from;
+}
+
+/* Lock held. */
+static void ask_again(struct flw *flw, struct flw_round *round, uint64_t now)
+{
+	uint32_t i;
+
+	for (i = 0; i < round->key_count; i++) {
+		struct flw_asked *asked = &round->asked[i];
+
+		if (asked->key && asked->again_at && now >= asked->again_at)
+			gather_again(flw, asked, now);
+	}
+}
+
+void flw_forget_asked(struct flw *flw, uint64_t key)
+{
+	struct flw_round *round;
+	struct flw_asked *asked;
+
+	pthread_mutex_lock(&flw->ask_lock);
+	asked = find_asked(flw, key, &round);
+	if (asked)
+		asked->key = 0;
+	pthread_mutex_unlock(&flw->ask_lock);
+}
+
 void flw_check_rounds(const struct flw_call *call)
 {
 	struct flw *flw = call->flw;
@@ -320,11 +388,13 @@
 
 		if (!round->used)
 			continue;
-		if (!round->asked_at)
-			send_round(call, round);
+		ask_again(flw, round, call->now);
 		if (call->now > round->used + FLW_ROUND_US)
 			round->used = 0;
 	}
+	for (i = 0; i < FLW_ROUNDS; i++)
+		if (flw->rounds[i].used && !flw->rounds[i].asked_at)
+			send_round(call, &flw->rounds[i]);
 	pthread_mutex_unlock(&flw->ask_lock);
 	conclude_all(call);
 }
@@ -352,61 +422,63 @@
 	}
 }
 
-/* -- asking -------------------------------------------------------------- */
-
-static struct flw_asked *gather(struct flw *flw, const Jj__Packet *packet,
-				uint64_t now)
-{
-	struct flw_round *round = gathering(flw, now);
-	struct flw_asked *asked = &round->asked[round->key_count++];
-
-	asked->key = packet->flow;
-	asked->tried = 0;
-	memset(asked->not_held, 0, sizeof(asked->not_held));
-	memset(asked->unknown, 0, sizeof(asked->unknown));
-	asked->not_here = 0;
-	keep_packet(asked, packet);
-	return asked;
-}
-
 /*
  * One that is being asked for waits for the answers; one that may be at agents
- * which do not know goes there, and is asked for anew after a while.
+ * which do not know goes there at once.
  */
 void flw_ask(const struct flw_work *work, int not_here)
 {
 	struct flw *flw = work->call->flw;
 	uint64_t now = work->call->now;
-	struct flw_round *round;
+	uint64_t key = work->packet->flow;
+	struct flw_round *round = NULL;
 	struct flw_asked *asked;
 	struct outcome out = { .try_count = 0 };
-	int over = 0;
+	int tried;
 
 	pthread_mutex_lock(&flw->ask_lock);
-	asked = find_asked(flw, work->packet->flow, &round);
-	if (asked && asked->tried && now > round->asked_at + FLW_ASK_AGAIN_US) {
-		asked->key = 0;
-		asked = NULL;
-	}
-	if (!asked) {
-		gather(flw, work->packet, now)->not_here = (uint8_t)not_here;
-	} else {
+	asked = find_asked(flw, key, &round);
+	if (!asked)
+		asked = gather(flw, key, now);
+	else
 		round->used = now;
-		keep_packet(asked, work->packet);
-		if (not_here)
-			note_answers(flw, flw->desc.id, &work->packet->flow, 1,
-				     1);
-		over = asked->tried;
-		if (over)
-			conclude(round, asked, &out);
+	asked->since = now;
+	asked->not_here |= (uint8_t)not_here;
+	if (!asked->rounds) { /* it was to be asked for later */
+		asked->rounds = 1;
+		asked->again_at = now;
 	}
+	keep_packet(asked, work->packet);
+	if (not_here)
+		note_answers(flw, flw->desc.id, &key, 1, 1);
+	tried = asked->tried;
+	if (tried)
+		conclude(round, asked, now, &out);
 	pthread_mutex_unlock(&flw->ask_lock);
 	if (out.try_count)
 		try_agents(work, &out);
-	else if (over)
+	else if (tried)
 		flw_on_unfound(work, &out.verdict);
 }
 
+void flw_ask_later(const struct flw_work *work)
+{
+	struct flw *flw = work->call->flw;
+	uint64_t key = work->packet->flow;
+	struct flw_round *round;
+	struct flw_asked *asked;
+
+	pthread_mutex_lock(&flw->ask_lock);
+	asked = find_asked(flw, key, &round);
+	if (!asked) {
+		asked = gather(flw, key, work->call->now);
+		asked->again_at = work->call->now + FLW_ASK_AGAIN_US;
+		asked->rounds = 0;
+	}
+	keep_packet(asked, work->packet);
+	pthread_mutex_unlock(&flw->ask_lock);
+}
+
 /* -- answers ------------------------------------------------------------- */
 
 void flw_on_inquiry(const struct flw_call *call, const Jj__Inquiry *inquiry)
@@ -463,7 +535,7 @@
 	asked = find_asked(flw, key, &round);
 	/* The last of those that did not know: nobody is left. */
 	if (asked && asked->tried && !verdict_of(round, asked).unknown) {
-		conclude(round, asked, &out);
+		conclude(round, asked, call->now, &out);
 		over = 1;
 	}
 	pthread_mutex_unlock(&flw->ask_lock);
--- a/src/core/flow_internal.h
+++ b/src/core/flow_internal.h
@@ -109,8 +109,9 @@
 	uint32_t asked; /* agents */
 	uint32_t silent;
 	uint32_t unknown;
-	uint32_t searched;
-	int partial;
+	uint32_t searched; /* services before this one */
+	int partial; /* the service has more agents */
+	int again; /* all were asked before */
 };
 void flw_on_unfound(const struct flw_work *work,
 		    const struct flw_verdict *verdict);
@@ -118,6 +119,10 @@
 /* flow_ask.c */
 /* Asks all agents of the service for a flow; not_here: surely not this one. */
 void flw_ask(const struct flw_work *work, int not_here);
+/* The same, unless the flow turns up at this agent's target meanwhile. */
+void flw_ask_later(const struct flw_work *work);
+/* The flow was found, or is looked for elsewhere. */
+void flw_forget_asked(struct flw *flw, uint64_t key);
 /* Sends gathered inquiries, ends those that are due. No lock may be held. */
 void flw_check_rounds(const struct flw_call *call);
 /* An agent's target surely does not hold a flow. No lock may be held. */
--- a/src/core/flow_place.c
+++ b/src/core/flow_place.c
@@ -230,6 +230,27 @@
 	       (agent->data_centre == data_centre ? 0 : ELSEWHERE);
 }
 
+/*
+ * An agent that has just started is the home of flows before it has heard of
+ * anybody's load: the best rank decides then, which knows more.
+ */
+static const struct viw_agent *blind_choice(const struct flw_work *work)
+{
+	const struct viw *view = work->call->view;
+	int ranks[FLW_TRIED_MAX];
+	int count = viw_order(view, work->service, work->packet->flow, ranks,
+			      FLW_TRIED_MAX);
+	int i;
+
+	for (i = 0; i < count; i++) {
+		const struct viw_agent *agent = &view->agents[ranks[i]];
+
+		if (agent != work->me && !was_tried(work, agent->id))
+			return agent;
+	}
+	return NULL;
+}
+
 /* The peer with the least fill below limit; its load is counted up. */
 static const struct viw_agent *least_peer(const struct flw_work *work,
 					  uint32_t limit)
@@ -237,9 +258,10 @@
 	const struct flw_call *call = work->call;
 	struct flw *flw = call->flw;
 	uint64_t data_centre =
-		viw_entry_centre(work->call->view, work->packet->via_id);
+		viw_entry_centre(call->view, work->packet->via_id);
 	const struct viw_agent *best = NULL;
 	struct flw_peer *chosen = NULL;
+	int heard = 0;
 	int i;
 
 	pthread_mutex_lock(&flw->peer_lock);
@@ -250,6 +272,7 @@
 
 		if (!peer->id || call->now > peer->at + FLW_LOAD_FRESH_US)
 			continue;
+		heard = 1;
 		agent = viw_agent(call->view, peer->id);
 		if (!agent || agent->out || agent->draining ||
 		    &call->view->services[agent->service] != work->service ||
@@ -269,7 +292,7 @@
 	if (chosen)
 		chosen->load++;
 	pthread_mutex_unlock(&flw->peer_lock);
-	return best;
+	return heard || limit != NOBODY ? best : blind_choice(work);
 }
 
 static uint32_t own_fill(const struct flw_work *work)
--- a/src/core/flow_search.c
+++ b/src/core/flow_search.c
@@ -229,7 +229,11 @@
 	struct flw *flw = work->call->flw;
 	int proves = is_proof(work, verdict);
 
-	if (search_former(work, verdict->searched))
+	if (search_former(work, verdict->searched)) {
+		flw_forget_asked(flw, work->packet->flow);
+		return;
+	}
+	if (verdict->again && !proves)
 		return;
 	met_add(flw->desc.met, MET_UNHELD, 1);
 	log_put(flw->desc.log, EV_FLOW_UNHELD,
@@ -262,10 +266,12 @@
 		return;
 	}
 	/* The first trial may settle it; without a result all are asked. */
-	if (!not_here && !count_trial(work))
+	if (!not_here && !count_trial(work)) {
 		flw_try_target(work, work->me->id);
-	else
+		flw_ask_later(work);
+	} else {
 		flw_ask(work, not_here);
+	}
 }
 
 void flw_on_not_held(const struct flw_call *call, struct flw_shard *shard,
--- a/src/core/flow_target.c
+++ b/src/core/flow_target.c
@@ -110,11 +110,31 @@
 	uint64_t beat_us = flw->desc.heartbeat_ms * 1000ull;
 
 	if (!*flw->target.said.id)
-		return now > flw->started + FIRST_BEATS * beat_us;
+		return flw->target.absent ||
+		       now > flw->started + FIRST_BEATS * beat_us;
 	return flw->target.gone ||
 	       now > flw->target.heard + MISSED_BEATS * beat_us;
 }
 
+int flw_target_heard(struct flw *flw)
+{
+	int heard;
+
+	pthread_mutex_lock(&flw->target_lock);
+	heard = *flw->target.said.id != 0;
+	pthread_mutex_unlock(&flw->target_lock);
+	return heard;
+}
+
+void flw_target_absent(struct flw *flw)
+{
+	pthread_mutex_lock(&flw->target_lock);
+	flw->target.absent = 1;
+	pthread_mutex_unlock(&flw->target_lock);
+	log_put(flw->desc.log, EV_TARGET_ABSENT, "service=%s",
+		flw->desc.service);
+}
+
 /*
  * Every packet for the target passes its agent, and an agent gives it nothing
  * before it was heard of. So one that heard the target's first report has seen
--- a/src/io/egress.c
+++ b/src/io/egress.c
@@ -11,6 +11,7 @@
 
 #define BATCH 64 /* datagrams of one socket in a round */
 #define WAIT_MS 250
+#define LOOK_MS 400 /* most targets are heard of earlier, about a heartbeat */
 #define TELL_MS 300 /* the fleet hears of a stop before the last opening */
 
 enum { FROM_TARGET, FROM_FLEET };
@@ -208,11 +209,41 @@
 		flw_on_load(&call, env->sender, env->load);
 }
 
+/*
+ * A target that runs is heard of within a heartbeat of the agent's start. One
+ * that is not is looked for once: when its port is closed it is not there, and
+ * nobody need wait for what it may hold.
+ */
+static void look_for_target(struct egr *egr)
+{
+	int error = EINPROGRESS;
+
+	if (egr->looked || flw_target_heard(&egr->flw) ||
+	    net_now_ms() < egr->started_ms + LOOK_MS)
+		return;
+	if (egr->look_fd < 0) {
+		egr->look_fd = net_connect_begin(egr->desc.target_ip,
+						 egr->desc.target_port);
+		error = egr->look_fd < 0 ? errno : EINPROGRESS;
+	} else {
+		error = net_connect_result(egr->look_fd);
+	}
+	if (error == EINPROGRESS)
+		return;
+	egr->looked = 1;
+	if (egr->look_fd >= 0)
+		close(egr->look_fd);
+	egr->look_fd = -1;
+	if (error == ECONNREFUSED)
+		flw_target_absent(&egr->flw);
+}
+
 void egr_tick(void *ctx, struct nod_lane *lane, const struct viw *view)
 {
 	struct egr *egr = ctx;
 	struct flw_call call = call_of(egr, lane, view);
 
+	look_for_target(egr);
 	nod_set_phase(egr->nod, flw_phase(&egr->flw, call.now));
 	if (egr->nod->joined)
 		flw_settle(&egr->flw);
@@ -277,6 +308,8 @@
 	memset(egr, 0, sizeof(*egr));
 	egr->desc = *desc;
 	egr->nod = nod;
+	egr->look_fd = -1;
+	egr->started_ms = net_now_ms();
 	flow.id = nod->id;
 	flow.met = &nod->met;
 	flow.log = &nod->desc.log->sink;
@@ -326,6 +359,8 @@
 		close(egr->threads[i].epoll_fd);
 	}
 	free(egr->threads);
+	if (egr->look_fd >= 0)
+		close(egr->look_fd);
 	flw_finish(&egr->flw);
 }
 
--- a/src/io/net.c
+++ b/src/io/net.c
@@ -121,6 +121,36 @@
 	return 0;
 }
 
+int net_connect_begin(uint32_t ip, uint16_t port)
+{
+	struct sockaddr_in to = net_address(ip, port);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	int saved;
+
+	if (fd < 0)
+		return -1;
+	if (!connect(fd, (struct sockaddr *)&to, sizeof(to)) ||
+	    errno == EINPROGRESS)
+		return fd;
+	saved = errno;
+	close(fd);
+	errno = saved;
+	return -1;
+}
+
+int net_connect_result(int fd)
+{
+	struct pollfd pfd = { .fd = fd, .events = POLLOUT };
+	int error = 0;
+	socklen_t len = sizeof(error);
+
+	if (poll(&pfd, 1, 0) <= 0)
+		return EINPROGRESS;
+	if (getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len))
+		return errno;
+	return error;
+}
+
 void net_set_timeout(int fd, uint32_t timeout_ms)
 {
 	struct timeval tv = { .tv_sec = timeout_ms / 1000,
--- a/src/io/net.h
+++ b/src/io/net.h
@@ -49,6 +49,13 @@
 /* Connected blocking TCP socket whose calls time out; -1 on failure. */
 int net_connect(uint32_t ip, uint16_t port, uint32_t timeout_ms);
 
+/*
+ * Begins to connect without blocking; -1 on failure, with errno. The result
+ * later: 0 connected, EINPROGRESS not yet, else the error.
+ */
+int net_connect_begin(uint32_t ip, uint16_t port);
+int net_connect_result(int fd);
+
 /* Sets the time after which blocking calls on fd fail. */
 void net_set_timeout(int fd, uint32_t timeout_ms);
 
--- a/tests/flow_test.cc
+++ b/tests/flow_test.cc
@@ -478,13 +478,43 @@
 	fleet.start(agent);
 	agent.core->desc.heartbeat_ms = 1000;
 	fleet.balancer("balancer-3");
-	for (int i = 0; i < 8; i++) {
-		for (auto key : keys)
-			fleet.send(key, 2);
-		fleet.run(300000);
-	}
+	/* The caller's own next packet may be 1.6 s away. */
+	fleet.run(500000);
+	for (auto key : keys)
+		fleet.request(key, 2);
+	fleet.run(1200000);
+	for (auto key : keys)
+		EXPECT_FALSE(fleet.callers[key].reset);
+	fleet.run(600000);
+	for (auto key : keys)
+		EXPECT_TRUE(fleet.callers[key].reset);
+}
+
+/* Its port was found closed: nobody waits for what it may hold. */
+TEST_P(Lost, FlowsOfATargetWhosePortIsClosedAreResetSoon)
+{
+	desk_fleet fleet(44, GetParam());
+	auto keys = fleet.open(10);
+	relay_agent &agent = *fleet.agents[1];
+
+	lose_all(fleet, 0);
+	agent.target->silent = true;
+	flw_finish(agent.core.get());
+	fleet.start(agent);
+	fleet.balancer("balancer-3");
+	for (auto key : keys)
+		fleet.request(key, 2);
+	fleet.run(100000);
+	flw_target_absent(agent.core.get());
+	fleet.run(400000);
 	for (auto key : keys)
 		EXPECT_TRUE(fleet.callers[key].reset);
+	/* One that starts later is taken up. */
+	EXPECT_EQ(flw_phase(agent.core.get(), fleet.now),
+		  JJ__PHASE__PHASE_DOWN);
+	fleet.report(agent);
+	EXPECT_EQ(flw_phase(agent.core.get(), fleet.now),
+		  JJ__PHASE__PHASE_WARM);
 }
 
 INSTANTIATE_TEST_SUITE_P(Sizes, Lost, ::testing::Values(3, 60, 300));
@@ -657,6 +687,28 @@
 	EXPECT_EQ(met_get(fleet.agents[0]->counters.get(), MET_TOO_OLD), 1u);
 }
 
+/*
+ * An agent joins and is the home of flows at once; its target is not there,
+ * and it has not heard of anybody's load.
+ */
+TEST(Opening, GoesOnFromAHomeThatKnowsNobodyYet)
+{
+	desk_fleet fleet(13, 4);
+	relay_agent &fresh = fleet.agent("agent-new", "desk", "dc-a");
+
+	flw_finish(fresh.core.get());
+	fleet.start(fresh);
+	fleet.lose_reports = true;
+	for (uint32_t i = 0; i < 10; i++) {
+		uint64_t key = fleet.caller(i);
+
+		fleet.give(4, key, wire{ fleet.callers[key].head, 0 }, 0);
+		fleet.run(15000);
+		EXPECT_TRUE(fleet.callers[key].open);
+		EXPECT_FALSE(fleet.callers[key].reset);
+	}
+}
+
 TEST(Opening, GoesToAnotherHomeWhenTheFirstIsDead)
 {
 	desk_fleet fleet(12);
--- a/tests/relay.sh
+++ b/tests/relay.sh
@@ -17,6 +17,16 @@
 	start_agent 2 desk
 	result 25
 	;;
+no_target) # an agent beside a closed port is down before a heartbeat is due
+	world 6 100
+	sleep 1.5
+	start_agent 7 desk
+	sleep 1
+	grep -q "JJ527" "$dir/agent-7.log" || fail "it did not look"
+	grep -q "JJ204.* name=agent-7 .*phase=5" "$dir/agent-1.log" ||
+		fail "the others wait for its target"
+	result 0
+	;;
 restart_agent) # planned; its target keeps the flows for its next life
 	world 6 100
 	sleep 1.5
