--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -7,7 +7,7 @@
 git ls-files -z | xargs -0 cp --parents -t "$copy"
 cd "$copy" || exit 1
 cmake -S . -B build -G Ninja -DJJ_WERROR=OFF >/dev/null
-ninja -C build core_test table_test admit_test agent_test member_test flow_test \
+ninja -C build core_test table_test admit_test agent_test member_test flow_test load_test \
 	platform_test >/dev/null || exit 1
 passed=0
 failed=0
@@ -82,14 +82,14 @@
 mechanism R6 $core/flow_search.c 's/return ack - first <= FLW_SPAN;/return 1;/' flow 'Seeds/FlowSeeds.FindTheirTarget*'
 mechanism R7 $core/flow.c 's/flow = adopt(call, shard, key, &head);/;/' flow 'Seeds/FlowSeeds.OpenByAnAnswer*'
 mechanism R8 $core/table.c 's/held->revision >= revision || same_content/same_content/' table 'sourced.AnOlder*'
-mechanism R9 $core/flow_wait.c 's/waiting->since > next->since/waiting->since < next->since/' flow 'Load.AFresh*'
-mechanism R10 $core/flow_place.c 's/return work->head.repeat && cap > queue ? cap - queue : cap;/return cap;/' flow 'Load.ALater*'
+mechanism R9 $core/flow_wait.c 's/waiting->since > next->since/waiting->since < next->since/' load 'Load.AFresh*'
+mechanism R10 $core/flow_place.c 's/return work->head.repeat && cap > queue ? cap - queue : cap;/return cap;/' load 'Load.ALater*'
 mechanism R11 $core/flow_wait.c 's/^		flw_try_place(&work);$/		;/' flow 'Opening.GoesToAnotherHome*'
 mechanism R12 $core/flow_target.c 's/^	if (is_gone(flw, now))$/	if (0)/' flow 'Reports.MissingOnes*'
 mechanism R13 $core/member_probe.c 's/if (now < mbr->heals_until)/if (0)/' member 'Sizes/Heal.*'
 mechanism R14 $core/relay.c 's/id ? viw_holder(view, id) : NULL/id ? viw_agent(view, id) : NULL/' flow 'Flows.ReachAHolder*'
 mechanism R14 $core/flow_search.c 's/holder = viw_holder(view, e->holder)/holder = viw_agent(view, e->holder)/' flow 'Flows.ReachAHolder*'
-mechanism R15 $core/flow_tell.c 's/if (origin \&\& origin != home/if (0 \&\& origin != home/' flow 'Load.AnAnswerIsTold*'
+mechanism R15 $core/flow_tell.c 's/if (origin \&\& origin != home/if (0 \&\& origin != home/' load 'Load.AnAnswerIsTold*'
 mechanism R16 $core/flow_place.c 's/if (!work->packet->doubt \&\& /if (/' flow 'Seeds/FlowSeeds.OpenByAnAnswer*'
 mechanism R17 $core/flow_search.c 's/^	if (search_former(work, verdict->searched))$/	if (0)/' flow 'Flows.StayWhenTheirRouteMoves'
 mechanism R18 platform/packet.c 's/^	put32(data + AT_ECHO, 0);/	;/' platform 'Packet.*'
@@ -101,13 +101,13 @@
 mechanism R24 $core/flow_ask.c 's/^			flw_forward(\&trial, to, FLW_TRIAL);/			;/' flow 'Sizes/Lost.FlowsOfLiving*'
 mechanism R25 $core/flow.c 's/return to > from ? to - from : 0;/return to - from;/' flow 'Flows.AreNotForgotten*'
 mechanism R26 $core/flow.c 's/^	if (work->call->waited) {/	if (0) {/' flow 'Opening.ThatWaited*'
-mechanism R27 $core/flow_place.c 's/peers\[i\].avoided = 1;/peers[i].cap = 0;/' flow 'Load.AnAvoided*'
-mechanism R28 $core/speed.c 's/return (uint32_t)((uint64_t)typical_us \* 100/return 100; return (uint32_t)((uint64_t)typical_us * 100/' flow 'Load.ASlowTarget*'
-mechanism R29 $core/flow_target.c 's/held = spd_too_fast(\&target->speed, now) \&\&/held = 0 \&\&/' flow 'Load.ATargetThatIsSuddenly*'
-mechanism R30 $core/speed.c 's/(uint64_t)recent \* SPD_FAST >= spd->usual_us ||/0 ||/' flow 'Load.ATargetThatHasAlways*'
-mechanism R31 $core/view.c 's/return able < VIW_LOCAL_HOMES ? 0 : count;/return 0;/' flow 'Wide.FlowsStay*'
-mechanism R32 $core/flow_place.c 's/^	if (!far || count == service->count)/	if (1)/' flow 'Wide.FlowsGoElsewhere*'
-mechanism R33 $core/flow_place.c 's/full || flw->load_far, to);/1, to);/' flow 'Wide.LoadReports*'
+mechanism R27 $core/flow_place.c 's/peers\[i\].avoided = 1;/peers[i].cap = 0;/' load 'Load.AnAvoided*'
+mechanism R28 $core/speed.c 's/return (uint32_t)((uint64_t)typical_us \* 100/return 100; return (uint32_t)((uint64_t)typical_us * 100/' load 'Load.ASlowTarget*'
+mechanism R29 $core/flow_target.c 's/held = spd_too_fast(\&target->speed, now) \&\&/held = 0 \&\&/' load 'Load.ATargetThatIsSuddenly*'
+mechanism R30 $core/speed.c 's/(uint64_t)recent \* SPD_FAST >= spd->usual_us ||/0 ||/' load 'Load.ATargetThatHasAlways*'
+mechanism R31 $core/view.c 's/return able < VIW_LOCAL_HOMES ? 0 : count;/return 0;/' load 'Wide.FlowsStay*'
+mechanism R32 $core/flow_place.c 's/^	if (!far || count == service->count)/	if (1)/' load 'Wide.FlowsGoElsewhere*'
+mechanism R33 $core/flow_place.c 's/full || flw->load_far, to);/1, to);/' load 'Wide.LoadReports*'
 mechanism R34 $core/flow_ask.c 's/if (asked->key \&\& asked->again_at \&\& now >= asked->again_at)/if (0)/' flow 'Sizes/Lost.FlowsOfATarget*'
 mechanism R35 $core/flow_target.c 's/return flw->target.absent ||/return 0 ||/' flow 'Sizes/Lost.FlowsOfATargetWhosePort*'
 mechanism R36 $core/flow_place.c 's/return heard || limit != NOBODY ? best : blind_choice(work);/return best;/' flow 'Opening.GoesOnFrom*'
--- a/scripts/sanitize.sh
+++ b/scripts/sanitize.sh
@@ -1,8 +1,8 @@
 #!/bin/sh
 # The unit tests with address and undefined-behaviour checks.
 set -eu
-tests="core_test table_test admit_test agent_test flow_test platform_test fuzz_test"
+tests="core_test table_test admit_test agent_test flow_test load_test platform_test fuzz_test"
 cmake -S . -B build-san -G Ninja -DJJ_SANITIZE=ON >/dev/null
 # shellcheck disable=SC2086
 ninja -C build-san $tests
-ctest --test-dir build-san --output-on-failure -R '^(core|table|admit|agent|flow|platform|fuzz)$'
+ctest --test-dir build-san --output-on-failure -R '^(core|table|admit|agent|flow|load|platform|fuzz)$'
--- /dev/null
+++ b/tests/load_test.cc
@@ -0,0 +1,494 @@
+/* Where new flows go, wait and are refused under load, in virtual time. */
+#include <gtest/gtest.h>
+
+#include "relay_fake.h"
+
+/* -- load ---------------------------------------------------------------- */
+
+TEST(Load, SpreadsOverTargetsByWorkInHand)
+{
+	desk_fleet fleet(13);
+
+	for (auto &agent : fleet.agents)
+		agent->target->work_us = 400000;
+	for (uint32_t i = 0; i < 20; i++) {
+		uint64_t key = fleet.caller(i);
+		fleet.send(key, i);
+		fleet.run(8000);
+		fleet.request(key, i);
+		fleet.run(2000);
+	}
+	/* 20 requests at once on 5 targets of 4 slots: none waits. */
+	for (auto &agent : fleet.agents)
+		EXPECT_EQ(agent->target->running, 4u);
+}
+
+TEST(Load, AFreshOpeningWaitsShortlyNewestFirstAndIsThenRefused)
+{
+	desk_fleet fleet(14, 1);
+	fake_target &target = *fleet.agents[0]->target;
+	std::vector<uint64_t> keys;
+
+	target.work_us = 1000000;
+	/* 4 slots and a queue of 2 are taken. */
+	for (uint32_t i = 0; i < 6; i++) {
+		uint64_t key = fleet.caller(i);
+		fleet.send(key, 0);
+		fleet.run(8000);
+		fleet.request(key, 0);
+		fleet.run(8000);
+	}
+	for (uint32_t i = 6; i < 9; i++) {
+		keys.push_back(fleet.caller(i));
+		fleet.send(keys.back(), 0);
+		fleet.run(1500);
+	}
+	EXPECT_EQ(fleet.agents[0]->core->waiting_count, 3u);
+	/* The route's target latency is 240 ms: they wait for 20 ms. */
+	fleet.run(20000 + 2 * FLW_TICK_US);
+	for (auto key : keys) {
+		EXPECT_FALSE(fleet.callers[key].open);
+		EXPECT_TRUE(fleet.callers[key].reset);
+	}
+	/* When a place comes free in time the newest has it. */
+	target.work_us = 1000;
+	keys.clear();
+	fleet.run(840000);
+	for (uint32_t i = 10; i < 12; i++) {
+		keys.push_back(fleet.caller(i));
+		fleet.send(keys.back(), 0);
+		fleet.run(1500);
+	}
+	while (!fleet.callers[keys[0]].open && !fleet.callers[keys[1]].open)
+		fleet.run(1000);
+	EXPECT_TRUE(fleet.callers[keys[1]].open);
+	EXPECT_FALSE(fleet.callers[keys[0]].open);
+}
+
+/*
+ * A report goes to a few peers at a time, so that a busy agent of a large
+ * service sends no more of them, and each peer's stays fresh.
+ */
+TEST(Load, ReportsAreBoundedInALargeService)
+{
+	desk_fleet fleet(19, 40);
+	relay_agent &agent = *fleet.agents[0];
+	uint64_t id = rnk_name_id(agent.name.c_str());
+
+	fleet.run(2 * SECOND);
+	fleet.reports.clear();
+	for (uint32_t i = 0; i < 50; i++) {
+		agent.core->in_hand = i % 4; /* changes all the time */
+		fleet.run(FLW_LOAD_US);
+		for (size_t j = 1; j < fleet.agents.size(); j++)
+			for (auto &peer : fleet.agents[j]->core->peers)
+				if (peer.id == id)
+					EXPECT_LT(fleet.now,
+						  peer.at + FLW_LOAD_FRESH_US);
+	}
+	agent.core->in_hand = 0;
+	EXPECT_LE(fleet.reports[id],
+		  (SECOND / FLW_LOAD_US + 2) * FLW_LOAD_PEERS);
+	EXPECT_GE(fleet.reports[id], 100u);
+}
+
+/* Callers that each open a flow for one request, at an even rate. */
+struct steady_load {
+	desk_fleet &fleet;
+	uint32_t next = 1000;
+	std::vector<uint64_t> keys;
+
+	void run(uint64_t us, uint32_t per_s)
+	{
+		uint64_t gap = SECOND / per_s;
+
+		for (uint64_t at = 0; at < us; at += gap) {
+			uint64_t key = fleet.caller(next++);
+
+			keys.push_back(key);
+			fleet.send(key, next);
+			fleet.at(6000, [this, key, via = next] {
+				if (fleet.callers[key].open)
+					fleet.request(key, via);
+			});
+			fleet.run(gap);
+		}
+	}
+	/* Openings that an agent's target was given since it was cleared. */
+	size_t share(size_t number)
+	{
+		return fleet.agents[number]->target->opened_at.size();
+	}
+	void clear()
+	{
+		for (auto &agent : fleet.agents)
+			agent->target->opened_at.clear();
+	}
+};
+
+/*
+ * Two of seven targets become six times slower for six seconds, at a load
+ * where all have work in hand: from the second second on they get little.
+ */
+TEST(Load, ASlowTargetGetsWhatItCanAnswerInTime)
+{
+	desk_fleet fleet(51, 7);
+	steady_load load{ fleet };
+
+	for (auto &agent : fleet.agents)
+		agent->target->work_us = 30000;
+	load.run(3 * SECOND, 300);
+	fleet.agents[0]->target->work_us = 180000;
+	fleet.agents[1]->target->work_us = 180000;
+	load.run(1 * SECOND, 300);
+	load.clear();
+	load.run(5 * SECOND, 300);
+	/* 1% of 1,500 would be late. */
+	EXPECT_LE(load.share(0) + load.share(1), 15u);
+	/* The rest does not follow one of them. */
+	for (size_t i = 2; i < 7; i++)
+		EXPECT_LT(load.share(i), 500u);
+	/* It is found again when it has recovered, by a few requests. */
+	fleet.agents[0]->target->work_us = 30000;
+	load.run(3 * SECOND, 300);
+	load.clear();
+	load.run(2 * SECOND, 300);
+	EXPECT_GT(load.share(0), 40u);
+	EXPECT_LE(load.share(1), 6u);
+}
+
+/*
+ * Targets that fail at once, while they say that they are well, never have
+ * work in hand. A tenth of the even share goes there, to see them recover.
+ */
+TEST(Load, ATargetThatIsSuddenlyFastDrawsNoLoad)
+{
+	desk_fleet fleet(52, 10);
+	steady_load load{ fleet };
+
+	for (auto &agent : fleet.agents)
+		agent->target->work_us = 35000;
+	load.run(3 * SECOND, 400);
+	fleet.agents[2]->target->work_us = 500;
+	load.run(SECOND, 400);
+	load.clear();
+	load.run(5 * SECOND, 400);
+	EXPECT_LE(load.share(2), 5 * SECOND / FLW_PROBE_US + 10);
+	EXPECT_GE(load.share(2), 5u);
+	fleet.agents[2]->target->work_us = 35000;
+	load.run(4 * SECOND, 400);
+	load.clear();
+	load.run(2 * SECOND, 400);
+	EXPECT_GT(load.share(2), 40u);
+}
+
+/* A target with a cache, or small answers, has always been fast. */
+TEST(Load, ATargetThatHasAlwaysBeenFastIsNotHeldBack)
+{
+	desk_fleet fleet(53, 10);
+	steady_load load{ fleet };
+
+	for (auto &agent : fleet.agents)
+		agent->target->work_us = 35000;
+	fleet.agents[2]->target->work_us = 2000;
+	load.run(3 * SECOND, 400);
+	load.clear();
+	load.run(2 * SECOND, 400);
+	EXPECT_GE(load.share(2), 80u); /* the even share of 800 */
+}
+
+/* All become fast together, as by a new version: nobody is held back. */
+TEST(Load, WhenAllBecomeFastNobodyIsHeldBack)
+{
+	desk_fleet fleet(54, 4);
+	steady_load load{ fleet };
+
+	for (auto &agent : fleet.agents)
+		agent->target->work_us = 35000;
+	load.run(3 * SECOND, 200);
+	for (auto &agent : fleet.agents)
+		agent->target->work_us = 1000;
+	load.run(2 * SECOND, 200);
+	load.clear();
+	load.run(2 * SECOND, 200);
+	for (size_t i = 0; i < 4; i++)
+		EXPECT_GE(load.share(i), 30u);
+}
+
+/* Six data centres of ten agents each, as a fleet of hundreds has them. */
+struct wide_fleet : relay_fleet {
+	explicit wide_fleet(uint64_t seed) : relay_fleet(seed)
+	{
+		rows("config", { service_row("desk"),
+				 route_row("r", "desk", "198.18.0.1:443") });
+		balancer("balancer-1"); /* in dc-a */
+		for (int i = 0; i < 60; i++)
+			agent("agent-" + std::to_string(i), "desk",
+			      std::string("dc-") + (char)('a' + i % 6));
+		run(700000);
+	}
+	uint64_t open_one(uint32_t number)
+	{
+		uint64_t key = caller(number);
+
+		send(key, 0);
+		run(6000);
+		request(key, 0);
+		run(4000);
+		return key;
+	}
+};
+
+TEST(Wide, FlowsStayInTheirCallersDataCentre)
+{
+	wide_fleet fleet(61);
+	uint64_t centre = rnk_name_id("dc-a");
+	const struct viw_service *service =
+		viw_service(fleet.view.get(), rnk_name_id("desk"));
+	std::map<std::string, int> homes;
+
+	for (uint32_t i = 0; i < 40; i++) {
+		uint64_t key = fleet.open_one(i);
+		const struct viw_agent *home =
+			viw_home(fleet.view.get(), service, key, centre);
+
+		EXPECT_EQ(home->data_centre, centre);
+		homes[std::to_string(home->id)]++;
+		EXPECT_EQ(fleet.holder(key)->data_centre, "dc-a");
+	}
+	EXPECT_GE(homes.size(), 6u); /* of 10 */
+}
+
+/* Its own data centre is taken out: the others know and serve them all. */
+TEST(Wide, FlowsGoElsewhereWhenTheirDataCentreIsOut)
+{
+	wide_fleet fleet(62);
+	std::set<std::string> centres;
+
+	fleet.rows("op/evacuate/dc-a", { fleet.drained("dc-a") });
+	fleet.run(400000);
+	for (uint32_t i = 0; i < 60; i++) {
+		uint64_t key = fleet.open_one(i);
+
+		ASSERT_TRUE(fleet.callers[key].open);
+		fleet.run(30000);
+		EXPECT_EQ(fleet.callers[key].answers, 1);
+		centres.insert(fleet.holder(key)->data_centre);
+	}
+	EXPECT_EQ(centres.count("dc-a"), 0u);
+	EXPECT_GE(centres.size(), 4u);
+	EXPECT_EQ(fleet.logged("JJ521"), 0u);
+}
+
+/* What an agent tells those elsewhere does not grow with its load. */
+TEST(Wide, LoadReportsCrossDataCentresRarely)
+{
+	wide_fleet fleet(63);
+	relay_agent &agent = *fleet.agents[0];
+
+	fleet.reports_far.clear();
+	for (uint32_t i = 0; i < 100; i++) {
+		agent.core->in_hand = i % 4; /* changes all the time */
+		fleet.run(FLW_LOAD_US);
+	}
+	agent.core->in_hand = 0;
+	EXPECT_GE(fleet.reports_far[agent.name], 30u);
+	EXPECT_LE(fleet.reports_far[agent.name],
+		  (2 * SECOND / FLW_LOAD_MAX_US + 1) * FLW_LOAD_FAR);
+}
+
+/* With few agents, a data centre's flows would all lose track with one. */
+TEST(Wide, HomesAreAnywhereWhereADataCentreHasFewAgents)
+{
+	desk_fleet fleet(64, 6);
+	const struct viw_service *service =
+		viw_service(fleet.view.get(), rnk_name_id("desk"));
+	std::set<uint64_t> homes;
+
+	for (uint64_t key = 1; key < 200; key++)
+		homes.insert(viw_home(fleet.view.get(), service, key,
+				      rnk_name_id("dc-a"))
+				     ->id);
+	EXPECT_EQ(homes.size(), 6u);
+}
+
+/* A caller that was reset, or took another target's answer, holds no slot. */
+TEST(Load, AnAnswerThatNobodyTakesFreesItsPlace)
+{
+	desk_fleet fleet(17, 1);
+
+	for (uint32_t i = 0; i < 6; i++)
+		fleet.send(fleet.caller(i), 0);
+	fleet.run(10000);
+	EXPECT_EQ(fleet.agents[0]->core->in_hand, 6u);
+	fleet.run(FLW_UNTAKEN_US + 2 * FLW_TICK_US);
+	EXPECT_EQ(fleet.agents[0]->core->in_hand, 0u);
+	uint64_t key = fleet.caller(50);
+	fleet.send(key, 0);
+	fleet.run(10000);
+	fleet.request(key, 0);
+	fleet.run(50000);
+	EXPECT_EQ(fleet.callers[key].answers, 1);
+}
+
+/* The home need not place again what was refused, nor avoid who refused it. */
+TEST(Load, ARefusalIsToldToTheHome)
+{
+	desk_fleet fleet(18, 2);
+
+	fleet.agents[0]->target->work_us = 3 * SECOND;
+	for (uint32_t i = 0; i < 6; i++) {
+		uint64_t key = fleet.caller(i);
+
+		fleet.give(0, key, wire{ fleet.callers[key].head, 0 }, 1);
+		fleet.run(4000);
+		wire request = { fleet.callers[key].head, 0 };
+		request.head.payload = 50;
+		fleet.give(0, key, request, 0);
+	}
+	fleet.report(*fleet.agents[1], true); /* the home knows it as idle */
+	uint64_t key = fleet.caller(50);
+	fleet.give(0, key, wire{ fleet.callers[key].head, 0 }, 0);
+	fleet.run(300000);
+	EXPECT_TRUE(fleet.callers[key].reset);
+	EXPECT_EQ(fleet.logged("JJ525"), 0u);
+}
+
+/*
+ * The only peer with room did not tell of one answer in time, as when its
+ * notice was lost: it still is the only one with room.
+ */
+TEST(Load, AnAvoidedPeerComesLastNotNever)
+{
+	desk_fleet fleet(18, 2);
+
+	fleet.rows("op/evacuate/dc-a", { fleet.drained("dc-a") });
+	fleet.run(400000);
+	fleet.lose_notices = true;
+	fleet.lose_reports = true;
+	uint64_t first = fleet.caller(50);
+	fleet.give(0, first, wire{ fleet.callers[first].head, 0 }, 0);
+	fleet.run(FLW_CHOSEN_US + 2 * FLW_TICK_US);
+	ASSERT_EQ(fleet.logged("JJ525"), 1u);
+	fleet.lose_notices = false;
+	uint64_t next = fleet.caller(51);
+	fleet.give(0, next, wire{ fleet.callers[next].head, 0 }, 0);
+	fleet.run(30000);
+	EXPECT_TRUE(fleet.callers[next].open);
+	EXPECT_FALSE(fleet.callers[next].reset);
+}
+
+/* A balancer's first home may be of a lower rank by the holder's view. */
+TEST(Load, AnAnswerIsToldToWhoPlacedTheOpening)
+{
+	desk_fleet fleet(19, 5);
+
+	for (uint32_t i = 0; i < 40; i++) {
+		uint64_t key = fleet.caller(i);
+
+		fleet.give(i % 5, key, wire{ fleet.callers[key].head, 0 }, 0);
+		fleet.run(150000);
+		EXPECT_TRUE(fleet.callers[key].open);
+	}
+	EXPECT_EQ(fleet.logged("JJ525"), 0u);
+}
+
+/* Fills a target with work that takes so long. */
+static void keep_busy(desk_fleet &fleet, size_t number, uint32_t first,
+		      uint64_t work_us)
+{
+	fleet.agents[number]->target->work_us = work_us;
+	for (uint32_t i = first; i < first + 6; i++) {
+		uint64_t key = fleet.caller(i);
+
+		fleet.give(number, key, wire{ fleet.callers[key].head, 0 }, 1);
+		fleet.run(4000);
+		wire request = { fleet.callers[key].head, 0 };
+		request.head.payload = 50;
+		fleet.give(number, key, request, 0);
+	}
+}
+
+/* A caller whose flow's first home is the given agent. */
+static uint64_t caller_of_home(desk_fleet &fleet, const char *name,
+			       uint32_t number)
+{
+	const struct viw_service *service =
+		viw_service(fleet.view.get(), rnk_name_id("desk"));
+	uint64_t key;
+
+	do
+		key = fleet.caller(number++);
+	while (viw_home(fleet.view.get(), service, key, rnk_name_id("dc-a"))
+		       ->id != rnk_name_id(name));
+	return key;
+}
+
+static size_t given(const desk_fleet &fleet)
+{
+	size_t sum = 0;
+
+	for (auto &agent : fleet.agents)
+		sum += agent->target->opened_at.size();
+	return sum;
+}
+
+/* Who was chosen passes it back to the home, which opens it. */
+TEST(Load, AnOpeningThatComesBackIsNotPlacedTwice)
+{
+	desk_fleet fleet(20, 2);
+	uint64_t other = fleet.caller(1);
+
+	fleet.give(0, other, wire{ fleet.callers[other].head, 0 }, 1);
+	fleet.run(30000);
+	fleet.report(*fleet.agents[1], true); /* the home knows it as idle */
+	uint64_t key = fleet.caller(50);
+	fleet.give(0, key, wire{ fleet.callers[key].head, 0 }, 0);
+	fleet.run(200000);
+	EXPECT_TRUE(fleet.callers[key].open);
+	EXPECT_EQ(fleet.logged("JJ525"), 0u);
+	EXPECT_EQ(given(fleet), 2u);
+}
+
+/* It waited at the chosen agent, which gave it to a third. */
+TEST(Load, AnOpeningThatWaitedElsewhereIsNotPlacedTwice)
+{
+	desk_fleet fleet(21, 3);
+	tbl_row route = fleet.route_row("r", "desk", "198.18.0.1:443");
+
+	route.target_latency_ms = 900;
+	fleet.rows("config", { fleet.service_row("desk"), route });
+	keep_busy(fleet, 0, 100, 3 * SECOND);
+	keep_busy(fleet, 2, 200, 90000);
+	fleet.run(30000);
+	fleet.report(*fleet.agents[1], true); /* the home knows it as idle */
+	uint64_t key = caller_of_home(fleet, "agent-2", 300);
+	fleet.give(0, key, wire{ fleet.callers[key].head, 0 }, 0);
+	fleet.run(300000);
+	EXPECT_EQ(fleet.callers[key].opened_at, "agent-2");
+	EXPECT_EQ(fleet.logged("JJ525"), 0u);
+	EXPECT_EQ(given(fleet), 13u);
+}
+
+TEST(Load, ALaterCopyTakesIdleSlotsOnly)
+{
+	desk_fleet fleet(15, 1);
+	fake_target &target = *fleet.agents[0]->target;
+
+	target.work_us = 1000000;
+	for (uint32_t i = 0; i < 4; i++) {
+		uint64_t key = fleet.caller(i);
+		fleet.send(key, 0);
+		fleet.run(8000);
+		fleet.request(key, 0);
+		fleet.run(8000);
+	}
+	uint64_t late = fleet.caller(50);
+	fleet.callers[late].head.repeat = 2;
+	fleet.send(late, 0);
+	uint64_t fresh = fleet.caller(51);
+	fleet.send(fresh, 0);
+	fleet.run(10000);
+	EXPECT_FALSE(fleet.callers[late].open);
+	EXPECT_TRUE(fleet.callers[fresh].open);
+}
--- a/tests/relay_fake.h
+++ b/tests/relay_fake.h
@@ -20,6 +20,8 @@
 #include "jujube/relay.h"
 }
 
+static const uint64_t SECOND = 1000000; /* us */
+
 /* The wire of these tests. */
 struct wire {
 	flw_packet head;
