--- a/tests/agent_test.cc
+++ b/tests/agent_test.cc
@@ -7,7 +7,6 @@
 
 #include "fleet_fake.h"
 
-static const Jj__Role BALANCER = JJ__ROLE__ROLE_BALANCER;
 static const Jj__Role AGENT = JJ__ROLE__ROLE_AGENT;
 
 /* A balancer and agents of one service, known to each other and settled. */
--- a/tests/fleet_fake.h
+++ b/tests/fleet_fake.h
@@ -543,4 +543,30 @@
 	}
 };
 
+static const Jj__Role BALANCER = JJ__ROLE__ROLE_BALANCER;
+
+inline void add_many(fake_fleet &fleet, int count)
+{
+	for (int i = 0; i < count; i++)
+		fleet.add("m" + std::to_string(i), BALANCER, "dc", "");
+}
+
+/* The full list that a joiner pulls from a seed. */
+inline void introduce_all(fake_fleet &fleet)
+{
+	for (auto &node : fleet.nodes) {
+		std::vector<Jj__Member> members;
+		std::vector<Jj__Member *> list;
+
+		for (auto &other : fleet.nodes) {
+			members.emplace_back();
+			mbr_to_msg(&other->mbr.members[0], &members.back());
+		}
+		for (auto &member : members)
+			list.push_back(&member);
+		mbr_merge(&node->mbr, fleet.now_ms(), list.data(), list.size());
+	}
+	fleet.run_ms(3000);
+}
+
 #endif
--- a/tests/flow_test.cc
+++ b/tests/flow_test.cc
@@ -347,6 +347,8 @@
 		EXPECT_EQ(fleet.callers[key].answers, 3);
 		EXPECT_EQ(fleet.strays(key), 0);
 	}
+	/* Both know where it is: nobody has to be asked. */
+	EXPECT_EQ(fleet.sent[JJ__ENVELOPE__BODY_INQUIRY], 0u);
 	/* It is given no new ones. */
 	for (uint32_t i = 0; i < 30; i++) {
 		uint64_t key = fleet.caller(500 + i);
--- a/tests/member_test.cc
+++ b/tests/member_test.cc
@@ -5,14 +5,6 @@
 
 #include "fleet_fake.h"
 
-static const Jj__Role BALANCER = JJ__ROLE__ROLE_BALANCER;
-
-static void add_many(fake_fleet &fleet, int count)
-{
-	for (int i = 0; i < count; i++)
-		fleet.add("m" + std::to_string(i), BALANCER, "dc", "");
-}
-
 static bool all_know_all(fake_fleet &fleet)
 {
 	for (auto &node : fleet.nodes)
@@ -31,24 +23,6 @@
 	return count;
 }
 
-/* The full list that a joiner pulls from a seed. */
-static void introduce_all(fake_fleet &fleet)
-{
-	for (auto &node : fleet.nodes) {
-		std::vector<Jj__Member> members;
-		std::vector<Jj__Member *> list;
-
-		for (auto &other : fleet.nodes) {
-			members.emplace_back();
-			mbr_to_msg(&other->mbr.members[0], &members.back());
-		}
-		for (auto &member : members)
-			list.push_back(&member);
-		mbr_merge(&node->mbr, fleet.now_ms(), list.data(), list.size());
-	}
-	fleet.run_ms(3000);
-}
-
 /* Bound from the target: in force everywhere within 7 s. */
 class Spread : public testing::TestWithParam<int>
 {
