--- a/src/io/ingress.c
+++ b/src/io/ingress.c
@@ -209,7 +209,7 @@
 		int i;
 
 		if (nod_pause_ms(&t->last_round_ms))
-			t->waited = 0;
+			t->waited = 1;
 		else if (!count)
 			t->waited = 0;
 		rcu_read_lock();
