Log restores of the platform's store and items that are ignored as older

After a restore of the store, the logs could not tell whether a new version was read and ignored, never read, or not passed on. JJ325 is written when the store's era rises, with the revision, lease and role that the process still holds from before; JJ326 when an item differs from rows that stay since they are newer. tbl_replace_source() counts these rows; the logic is unchanged.

--- a/include/jujube/log.h
+++ b/include/jujube/log.h
@@ -86,6 +86,10 @@
 	  "invalid item on the platform ignored")                              \
 	X(324, LOG_INFO_, WATCHING,                                            \
 	  "started or stopped watching the platform")                          \
+	X(325, LOG_WARN_, PLATFORM_RESTORED,                                   \
+	  "platform was restored from an older copy")                          \
+	X(326, LOG_WARN_, ITEM_OUTDATED,                                       \
+	  "item on the platform is older than the rows held")                  \
 	X(510, LOG_INFO_, STATE_HANDED_OVER, "flows and ledger handed over")   \
 	X(511, LOG_INFO_, STATE_RESTORED, "flows and ledger restored")         \
 	X(512, LOG_WARN_, HANDOVER_FAILED,                                     \
--- a/include/jujube/table.h
+++ b/include/jujube/table.h
@@ -133,18 +133,24 @@
 enum jj_status tbl_apply(struct tbl *tbl, const struct tbl_edits *edits,
 			 struct jj_error *err);
 
+/* Rows that tbl_replace_source() found to differ from those of the source. */
+struct tbl_replaced {
+	uint32_t changed;
+	uint32_t ignored; /* left, as the table holds newer ones */
+};
+
 /*
  * Replaces all rows that come from one source (an item that operators wrote
  * to an external store) by the given rows, as of revision. Rows that differ
  * are copied; rows of this source that are missing from the list are removed.
  * Rows with the same or a higher revision are unchanged. The source is stored
  * in the rows' change_id. JJ_INVALID: a row is invalid, and nothing was
- * changed. Sets *changed to the number of changed rows. Doesn't change the
- * table's revision, see tbl_raise_revision().
+ * changed. Doesn't change the table's revision, see tbl_raise_revision().
  */
 enum jj_status tbl_replace_source(struct tbl *tbl, const char *source,
 				  const struct tbl_row *rows, uint32_t count,
-				  uint64_t revision, uint32_t *changed,
+				  uint64_t revision,
+				  struct tbl_replaced *result,
 				  struct jj_error *err);
 
 /* Removes, as of revision, all rows whose source is not in sources. */
--- a/src/core/table.c
+++ b/src/core/table.c
@@ -435,27 +435,32 @@
 	return JJ_OK;
 }
 
-/* Turns a row into a tombstone; returns 1 if it did, 0 if it did not. */
-static uint32_t remove_row(struct tbl_row *row, uint64_t revision)
+/* Turns a row into a tombstone, unless it is newer. */
+static void remove_row(struct tbl_row *row, uint64_t revision,
+		       struct tbl_replaced *result)
 {
-	if (row->state == JJ__ROW_STATE__STATE_REMOVED ||
-	    row->revision >= revision)
-		return 0;
+	if (row->state == JJ__ROW_STATE__STATE_REMOVED)
+		return;
+	if (row->revision >= revision) {
+		result->ignored++;
+		return;
+	}
 	row->state = JJ__ROW_STATE__STATE_REMOVED;
 	row->revision = revision;
-	return 1;
+	result->changed++;
 }
 
 enum jj_status tbl_replace_source(struct tbl *tbl, const char *source,
 				  const struct tbl_row *rows, uint32_t count,
-				  uint64_t revision, uint32_t *changed,
+				  uint64_t revision,
+				  struct tbl_replaced *result,
 				  struct jj_error *err)
 {
 	enum jj_status status = check_rows(tbl, rows, count, err);
 	uint8_t *in_source;
 	uint32_t i;
 
-	*changed = 0;
+	*result = (struct tbl_replaced){ 0 };
 	if (status != JJ_OK)
 		return status;
 	in_source = calloc(tbl->capacity, 1);
@@ -470,14 +475,18 @@
 		in_source[held - tbl->rows] = 1;
 		snprintf(row.change_id, sizeof(row.change_id), "%s", source);
 		row.revision = revision;
-		if (held->revision >= revision || has_same_content(&row, held))
+		if (has_same_content(&row, held))
+			continue;
+		if (held->revision >= revision) {
+			result->ignored++;
 			continue;
+		}
 		*held = row;
-		++*changed;
+		result->changed++;
 	}
 	for (i = 0; i < tbl->count; i++)
 		if (!in_source[i] && !strcmp(tbl->rows[i].change_id, source))
-			*changed += remove_row(&tbl->rows[i], revision);
+			remove_row(&tbl->rows[i], revision, result);
 	free(in_source);
 	return JJ_OK;
 }
@@ -485,7 +494,7 @@
 uint32_t tbl_retain_sources(struct tbl *tbl, const char *const *sources,
 			    uint32_t count, uint64_t revision)
 {
-	uint32_t changed = 0;
+	struct tbl_replaced result = { 0 };
 	uint32_t i;
 
 	for (i = 0; i < tbl->count; i++) {
@@ -496,9 +505,9 @@
 			       sizeof(tbl->rows[i].change_id) - 1) != 0)
 			j++;
 		if (j == count)
-			changed += remove_row(&tbl->rows[i], revision);
+			remove_row(&tbl->rows[i], revision, &result);
 	}
-	return changed;
+	return result.changed;
 }
 
 void tbl_raise_revision(struct tbl *tbl, uint64_t revision)
--- a/src/io/node.c
+++ b/src/io/node.c
@@ -143,16 +143,21 @@
 			const struct tbl_row *rows, uint32_t count,
 			uint64_t revision)
 {
+	struct tbl_replaced result;
 	struct jj_error err;
-	uint32_t changed;
 
 	pthread_mutex_lock(&nod->lock);
 	if (tbl_replace_source(&nod->tbl, source, rows, count, revision,
-			       &changed, &err) != JJ_OK)
+			       &result, &err) != JJ_OK)
 		log_put(&nod->desc.log->sink, EV_TABLE_INVALID,
 			"source=%s revision=%llu reason=%s", source,
 			(unsigned long long)revision, err.message);
-	publish_revision(nod, nod->tbl.revision, changed);
+	if (result.ignored)
+		log_put(&nod->desc.log->sink, EV_ITEM_OUTDATED,
+			"source=%s revision=%llu held=%llu ignored=%u", source,
+			(unsigned long long)revision,
+			(unsigned long long)nod->tbl.revision, result.ignored);
+	publish_revision(nod, nod->tbl.revision, result.changed);
 	pthread_mutex_unlock(&nod->lock);
 }
 
--- a/src/io/registry.c
+++ b/src/io/registry.c
@@ -282,6 +282,23 @@
 	return status == REG_OK && reg->as_of == before ? REG_REFUSED : status;
 }
 
+/* -- restores of the store ----------------------------------------------- */
+
+static void update_era(struct reg *reg)
+{
+	const struct reg_store *store = &reg->desc.store;
+	uint64_t era = store->era(store->ctx);
+
+	if (reg->era_known && era > reg->era)
+		log_put(reg->desc.log, EV_PLATFORM_RESTORED,
+			"era=%llu before=%llu as_of=%llu lease=%llu watching=%d",
+			(unsigned long long)era, (unsigned long long)reg->era,
+			(unsigned long long)reg->as_of,
+			(unsigned long long)reg->lease, reg->watching);
+	reg->era = era;
+	reg->era_known = 1;
+}
+
 /* -- thread -------------------------------------------------------------- */
 
 static void update_watching(struct reg *reg)
@@ -328,10 +345,16 @@
 	struct reg *reg = arg;
 
 	while (!reg->stopping) {
+		enum reg_status status;
+
 		update_watching(reg);
-		if (is_idle(reg))
+		if (is_idle(reg)) {
 			sleep_ms(REG_IDLE_MS);
-		else if (run_due_call(reg) == REG_OK)
+			continue;
+		}
+		status = run_due_call(reg);
+		update_era(reg);
+		if (status == REG_OK)
 			reset_backoff(reg);
 		else if (!reg->stopping)
 			back_off(reg);
--- a/src/io/registry.h
+++ b/src/io/registry.h
@@ -76,6 +76,11 @@
 	enum reg_status (*grant)(void *ctx, uint32_t ttl_ms, uint64_t *lease);
 	enum reg_status (*renew)(void *ctx, uint64_t lease);
 	enum reg_status (*revoke)(void *ctx, uint64_t lease);
+	/*
+	 * How often the store was restored from an older copy, by its last
+	 * response.
+	 */
+	uint64_t (*era)(void *ctx);
 	/* Converts an item to table rows, on the heap. */
 	enum jj_status (*to_rows)(void *ctx, const struct reg_item *item,
 				  struct tbl_row **rows, uint32_t *count,
@@ -112,6 +117,8 @@
 	uint64_t lease; /* 0: none */
 	uint64_t renew_at; /* ms */
 	enum reg_step step; /* next step of joining */
+	uint64_t era; /* of the store, see reg_store.era */
+	int era_known;
 	uint64_t as_of; /* revision up to which items are known, 0: none */
 	uint64_t watch_from; /* ms; this process does not watch before */
 	int watching;
--- a/tests/relay_fake.h
+++ b/tests/relay_fake.h
@@ -186,13 +186,13 @@
 
 	void set_rows(const char *source, std::vector<tbl_row> list)
 	{
-		uint32_t changed;
+		tbl_replaced result;
 		jj_error err;
 		uint64_t revision = table.revision + 1;
 
 		EXPECT_EQ(tbl_replace_source(&table, source, list.data(),
 					     (uint32_t)list.size(), revision,
-					     &changed, &err),
+					     &result, &err),
 			  JJ_OK)
 			<< err.message;
 		tbl_raise_revision(&table, revision);
--- a/tests/table_test.cc
+++ b/tests/table_test.cc
@@ -458,7 +458,7 @@
 
 struct rows_by_source : testing::Test {
 	tbl table;
-	uint32_t changed = 0;
+	tbl_replaced result = {};
 	jj_error err;
 
 	void SetUp() override
@@ -484,7 +484,7 @@
 	{
 		return tbl_replace_source(&table, source, rows.data(),
 					  (uint32_t)rows.size(), revision,
-					  &changed, &err);
+					  &result, &err);
 	}
 	const tbl_row *find(const char *name)
 	{
@@ -496,9 +496,9 @@
 {
 	ASSERT_EQ(replace("config", { service("a", 1), service("b", 1) }, 5),
 		  JJ_OK);
-	EXPECT_EQ(changed, 2u);
+	EXPECT_EQ(result.changed, 2u);
 	ASSERT_EQ(replace("config", { service("a", 1) }, 9), JJ_OK);
-	EXPECT_EQ(changed, 1u);
+	EXPECT_EQ(result.changed, 1u);
 	EXPECT_EQ(find("a")->revision, 5u);
 	EXPECT_EQ(find("b")->state, JJ__ROW_STATE__STATE_REMOVED);
 	EXPECT_EQ(find("b")->revision, 9u);
@@ -509,7 +509,8 @@
 	ASSERT_EQ(replace("config", { service("a", 2), service("c", 2) }, 9),
 		  JJ_OK);
 	ASSERT_EQ(replace("config", { service("a", 1) }, 5), JJ_OK);
-	EXPECT_EQ(changed, 0u);
+	EXPECT_EQ(result.changed, 0u);
+	EXPECT_EQ(result.ignored, 2u);
 	EXPECT_EQ(find("a")->max_flows, 2u);
 	EXPECT_EQ(find("c")->state, JJ__ROW_STATE__STATE_IN);
 	tbl_raise_revision(&table, 9);
