--- a/tests/relay.sh
+++ b/tests/relay.sh
@@ -3,6 +3,9 @@
 # usage: relay.sh SCENARIO
 . "$(dirname "$0")/relay_lib.sh"
 
+case $1 in
+restored_lease) lease_s=2 ;;
+esac
 start_fleet
 
 case $1 in
@@ -97,6 +100,66 @@
 	[ "$(grep -c JJ520 "$dir/agent-1.log")" = "$before" ] ||
 		fail "the evacuation is not in force"
 	;;
+restored_reissued) # a change at a revision that was given out before the restore
+	sleep 2
+	[ -n "$(list_watchers)" ] || fail "no process watches the store"
+	fault copy
+	configure 9
+	configure 10
+	configure 11
+	sleep 1
+	restore_store
+	configure 11
+	operator POST op/evacuate/zone-1 '{}'
+	# The store's revision passes the one that watchers remember.
+	for i in 1 2 3; do operator POST "servers/$i" '{}'; done
+	fault up
+	sleep 3
+	start_load 4 100
+	check_load 0
+	for i in 1 3 5; do
+		grep -q "JJ520" "$dir/agent-$i.log" && fail "agent-$i in the evacuated zone-1 received flows"
+	done
+	grep -q "JJ520" "$dir/agent-2.log" || fail "zone-0 received no flows"
+	;;
+restored_start) # a process that starts before operators have written again
+	fault copy
+	configure 9 '{"name":"r-3","host":"198.18.0.1","prefix":"/445/","service":"desk"}'
+	operator POST op/evacuate/zone-1 '{}'
+	sleep 1
+	kill -9 "${pids[agent-2]}" "${pids[balancer-1]}"
+	restore_store
+	fault up
+	sleep 1
+	start_agent 2 desk
+	start_balancer 1
+	sleep 3
+	for name in balancer-{1..2} agent-{1..6}; do
+		# services desk and vault, three routes, one evacuation
+		[ "$(rows_held "$name")" = 6 ] || fail "$name lost rows: $(rows_held "$name")"
+	done
+	start_load 4 100
+	check_load 0
+	for i in 1 3 5; do
+		grep -q "JJ520" "$dir/agent-$i.log" && fail "agent-$i in the evacuated zone-1 received flows"
+	done
+	;;
+restored_lease) # leases lost by the restore are given to others
+	fault copy
+	start_agent 7 desk
+	start_agent 8 desk
+	sleep 1
+	restore_store
+	fault up
+	for i in 1 2; do
+		curl -s --noproxy '*' "http://$store/kv-lease" -d '{"ttlMs":60000}' >/dev/null
+	done
+	sleep 3
+	for i in 7 8; do
+		curl -s --noproxy '*' "http://$store/kv-range?prefix=jujube/members/" |
+			grep -q "members/agent-$i\"" || fail "agent-$i is not registered"
+	done
+	;;
 herd) # all processes restart at once; store and targets keep running
 	start_load 7 100
 	sleep 1.5
--- a/tests/relay_lib.sh
+++ b/tests/relay_lib.sh
@@ -32,6 +32,7 @@
 	gossip_ms = 100
 	[registry]
 	address = $store
+	lease_s = ${lease_s:-20}
 	END
 }
 
@@ -94,8 +95,9 @@
 	curl -s --noproxy '*' "http://$store/fault?mode=$1" >/dev/null
 }
 
+# configure VERSION [ROUTE]: writes a configuration, with another route if given
 configure() {
-	operator POST op/config '{"version":'"$1"',"routes":[
+	operator POST op/config '{"version":'"$1"',"routes":['"${2:+$2,}"'
 		{"name":"r-1","host":"198.18.0.1","prefix":"/443/",
 		 "service":"desk","targetLatencyMs":300},
 		{"name":"r-2","host":"198.18.0.1","prefix":"/444/",
@@ -104,6 +106,18 @@
 		"limits":{"idleTimeoutMs":15000}}'
 }
 
+# restore_store: the store is away for a moment and comes back from its copy
+restore_store() {
+	fault down
+	sleep 0.3
+	fault restore
+}
+
+# rows_held NAME: rows of the table that the process has last put into force
+rows_held() {
+	grep JJ300 "$dir/$1.log" | tail -n 1 | sed 's/.* rows=\([0-9]*\).*/\1/'
+}
+
 ready() {
 	curl -s --noproxy '*' -o "$dir/ready" -w '%{http_code}' \
 		"http://127.$net.1.$1:8167/ready"
--- a/tests/standin/metastore.c
+++ b/tests/standin/metastore.c
@@ -5,8 +5,11 @@
  * transactions and leases.
  * usage: standin-metastore IP PORT
  *
- * Faults, by GET: /fault?mode=up|down|compact|lose (lose: the next transaction
- * takes effect without a reply; compact: the history so far is dropped).
+ * Faults, by GET: /fault?mode=up|down|compact|lose|copy|restore (lose: the next
+ * transaction takes effect without a reply; compact: the history so far is
+ * dropped; restore: the state returns to that of the last copy, and the era
+ * rises). Revisions and lease ids that were given out after the copy are given
+ * out again.
  * Operators write an item by POST /operator?key=K with the value as body, and
  * remove it by DELETE /operator?key=K.
  */
@@ -39,15 +42,22 @@
 	long long until_ms;
 };
 
+/* All that a restore takes back to an earlier state. */
+struct state {
+	struct item items[ITEMS];
+	int item_count;
+	struct lease leases[LEASES];
+	int lease_count;
+	long long revision;
+	long long next_lease;
+};
+
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static pthread_cond_t changed = PTHREAD_COND_INITIALIZER;
-static struct item items[ITEMS];
-static int item_count;
-static struct lease leases[LEASES];
-static int lease_count;
-static long long revision = 10;
+static struct state current = { .revision = 10, .next_lease = 77000 };
+static struct state copy;
+static long long era = 1;
 static long long compacted_before; /* revisions before it are dropped */
-static long long next_lease = 77000;
 static int down;
 static int lose_next_reply;
 
@@ -63,9 +73,9 @@
 {
 	int i;
 
-	for (i = 0; i < item_count; i++)
-		if (!strcmp(items[i].key, key))
-			return &items[i];
+	for (i = 0; i < current.item_count; i++)
+		if (!strcmp(current.items[i].key, key))
+			return &current.items[i];
 	return NULL;
 }
 
@@ -73,17 +83,17 @@
 {
 	struct item *item = find_item(key);
 
-	if (!item && item_count < ITEMS) {
-		item = &items[item_count++];
+	if (!item && current.item_count < ITEMS) {
+		item = &current.items[current.item_count++];
 		snprintf(item->key, sizeof(item->key), "%s", key);
 	}
 	if (!item)
 		return;
 	if (!item->value)
-		item->created = revision;
+		item->created = current.revision;
 	free(item->value);
 	item->value = value ? strdup(value) : NULL;
-	item->revision = revision;
+	item->revision = current.revision;
 	item->lease = lease;
 }
 
@@ -92,15 +102,17 @@
 	int i;
 	int j;
 
-	for (i = 0; i < lease_count; i++) {
-		if (!leases[i].id || now_ms() < leases[i].until_ms)
+	for (i = 0; i < current.lease_count; i++) {
+		if (!current.leases[i].id ||
+		    now_ms() < current.leases[i].until_ms)
 			continue;
-		for (j = 0; j < item_count; j++)
-			if (items[j].value && items[j].lease == leases[i].id) {
-				revision++;
-				set_item(items[j].key, NULL, 0);
+		for (j = 0; j < current.item_count; j++)
+			if (current.items[j].value &&
+			    current.items[j].lease == current.leases[i].id) {
+				current.revision++;
+				set_item(current.items[j].key, NULL, 0);
 			}
-		leases[i].id = 0;
+		current.leases[i].id = 0;
 		pthread_cond_broadcast(&changed);
 	}
 }
@@ -121,10 +133,12 @@
 	json_t *list = json_array();
 	int i;
 
-	for (i = 0; i < item_count; i++)
-		if (!strncmp(items[i].key, prefix, strlen(prefix)) &&
-		    items[i].revision > after && (items[i].value || removed))
-			json_array_append_new(list, item_to_json(&items[i]));
+	for (i = 0; i < current.item_count; i++)
+		if (!strncmp(current.items[i].key, prefix, strlen(prefix)) &&
+		    current.items[i].revision > after &&
+		    (current.items[i].value || removed))
+			json_array_append_new(list,
+					      item_to_json(&current.items[i]));
 	return list;
 }
 
@@ -135,9 +149,12 @@
 	struct MHD_Response *response = MHD_create_response_from_buffer(
 		strlen(text), text, MHD_RESPMEM_MUST_FREE);
 	enum MHD_Result result;
+	char era_text[24];
 
 	json_decref(body);
 	MHD_add_response_header(response, "Content-Type", "application/json");
+	snprintf(era_text, sizeof(era_text), "%lld", era);
+	MHD_add_response_header(response, "Store-Era", era_text);
 	result = MHD_queue_response(conn, code, response);
 	MHD_destroy_response(response);
 	return result;
@@ -159,7 +176,7 @@
 
 	return reply(conn, 200,
 		     json_pack("{s:o,s:b,s:I}", "items", list, "truncated", 0,
-			       "asOf", (json_int_t)revision));
+			       "asOf", (json_int_t)current.revision));
 }
 
 static enum MHD_Result get_watch(struct MHD_Connection *conn)
@@ -169,7 +186,7 @@
 	long long until = now_ms() + atoll(query(conn, "waitMs"));
 	json_t *list = NULL;
 
-	if (after < compacted_before)
+	if (after < compacted_before || after > current.revision)
 		return reply(conn, 410, NULL);
 	for (;;) {
 		struct timespec ts;
@@ -193,16 +210,16 @@
 	}
 	return reply(conn, 200,
 		     json_pack("{s:o,s:I}", "events", list, "asOf",
-			       (json_int_t)revision));
+			       (json_int_t)current.revision));
 }
 
 static struct lease *find_lease(long long id)
 {
 	int i;
 
-	for (i = 0; i < lease_count; i++)
-		if (id && leases[i].id == id)
-			return &leases[i];
+	for (i = 0; i < current.lease_count; i++)
+		if (id && current.leases[i].id == id)
+			return &current.leases[i];
 	return NULL;
 }
 
@@ -222,7 +239,7 @@
 			return reply(conn, 404, NULL);
 		}
 	}
-	revision++;
+	current.revision++;
 	json_array_foreach(json_object_get(root, "puts"), i, put)
 		set_item(json_string_value(json_object_get(put, "key")),
 			 json_string_value(json_object_get(put, "value")),
@@ -233,20 +250,21 @@
 		lose_next_reply = 0;
 		return MHD_NO;
 	}
-	return reply(conn, 200,
-		     json_pack("{s:I}", "revision", (json_int_t)revision));
+	return reply(
+		conn, 200,
+		json_pack("{s:I}", "revision", (json_int_t)current.revision));
 }
 
 static enum MHD_Result post_lease(struct MHD_Connection *conn, const char *body)
 {
 	json_t *root = json_loads(body, 0, NULL);
 	long long ttl = json_integer_value(json_object_get(root, "ttlMs"));
-	struct lease *lease = &leases[lease_count++ % LEASES];
+	struct lease *lease = &current.leases[current.lease_count++ % LEASES];
 
 	json_decref(root);
-	if (lease_count > LEASES)
-		lease_count = LEASES;
-	*lease = (struct lease){ ++next_lease, ttl, now_ms() + ttl };
+	if (current.lease_count > LEASES)
+		current.lease_count = LEASES;
+	*lease = (struct lease){ ++current.next_lease, ttl, now_ms() + ttl };
 	return reply(conn, 200,
 		     json_pack("{s:I,s:I}", "lease", (json_int_t)lease->id,
 			       "ttlMs", (json_int_t)ttl));
@@ -270,7 +288,7 @@
 {
 	char text[65536];
 
-	revision++;
+	current.revision++;
 	sodium_bin2base64(text, sizeof(text), (const unsigned char *)body,
 			  strlen(body), sodium_base64_VARIANT_ORIGINAL);
 	set_item(query(conn, "key"), strcmp(method, "DELETE") ? text : NULL, 0);
@@ -278,14 +296,41 @@
 	return reply(conn, 200, NULL);
 }
 
+static void copy_state(struct state *to, const struct state *from)
+{
+	int i;
+
+	for (i = 0; i < to->item_count; i++)
+		free(to->items[i].value);
+	*to = *from;
+	for (i = 0; i < to->item_count; i++)
+		if (to->items[i].value)
+			to->items[i].value = strdup(to->items[i].value);
+}
+
+static void restore_copy(void)
+{
+	int i;
+
+	copy_state(&current, &copy);
+	for (i = 0; i < current.lease_count; i++)
+		current.leases[i].until_ms =
+			now_ms() + current.leases[i].ttl_ms;
+	era++;
+}
+
 static enum MHD_Result set_fault(struct MHD_Connection *conn)
 {
 	const char *mode = query(conn, "mode");
 
 	if (!strcmp(mode, "compact"))
-		compacted_before = revision;
+		compacted_before = current.revision;
 	else if (!strcmp(mode, "lose"))
 		lose_next_reply = 1;
+	else if (!strcmp(mode, "copy"))
+		copy_state(&copy, &current);
+	else if (!strcmp(mode, "restore"))
+		restore_copy();
 	else
 		down = !strcmp(mode, "down");
 	pthread_cond_broadcast(&changed);
