Order operators' items by version and era across restores of the store

Cause: the store's revision was used as the order of everything that operators ever wrote, although a restored store goes back and gives revisions out again. Watchers resumed at the revision that they remembered, the restored store accepted it once its counter had passed it, and what was written below was missed. A process that did read a change at a reissued revision announced no higher revision, so nobody pulled it. Leases were of the same kind: an id that was lost and granted to another process was renewed with success, and the process stayed unregistered.

A response of a higher era drops as_of and lease: items are read again, the process registers again. The first watch after a failed call returns at once, since a watch that waits shows the era too late. - Operators number their configurations. A higher version goes before a higher revision, so that the older copy replaces nothing and a version written again takes effect at any revision. - What the store has lost is held: such rows get a revision above the table's, so that processes which know only the restored store pull them. Items without a version (evacuations) are held for 30 s at most. - A row that is new to a table, of an older version than the table has of its source, was removed since and is not taken back.

--- a/gen/jujube.pb-c.c
+++ b/gen/jujube.pb-c.c
@@ -1461,7 +1461,7 @@
   (ProtobufCMessageInit) jj__member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jj__row__field_descriptors[17] =
+static const ProtobufCFieldDescriptor jj__row__field_descriptors[18] =
 {
   {
     "kind",
@@ -1667,6 +1667,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "version",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Jj__Row, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jj__row__field_indices_by_name[] = {
   3,   /* field[3] = address */
@@ -1682,6 +1694,7 @@
   5,   /* field[5] = slots */
   8,   /* field[8] = state */
   16,   /* field[16] = target_latency_ms */
+  17,   /* field[17] = version */
   4,   /* field[4] = weight */
   11,   /* field[11] = when */
   10,   /* field[10] = who */
@@ -1690,7 +1703,7 @@
 static const ProtobufCIntRange jj__row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor jj__row__descriptor =
 {
@@ -1700,7 +1713,7 @@
   "Jj__Row",
   "jj",
   sizeof(Jj__Row),
-  17,
+  18,
   jj__row__field_descriptors,
   jj__row__field_indices_by_name,
   1,  jj__row__number_ranges,
--- a/gen/jujube.pb-c.h
+++ b/gen/jujube.pb-c.h
@@ -198,10 +198,17 @@
    * route rows: time in which callers expect a
    */
   uint32_t target_latency_ms;
+  /*
+   * reply, 0: not set
+   */
+  /*
+   * operators' number of the item that the row comes
+   */
+  uint64_t version;
 };
 #define JJ__ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jj__row__descriptor) \
-    , JJ__KIND__KIND_NONE, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, JJ__ROW_STATE__STATE_IN, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , JJ__KIND__KIND_NONE, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, JJ__ROW_STATE__STATE_IN, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
--- a/include/jujube/table.h
+++ b/include/jujube/table.h
@@ -9,6 +9,15 @@
  * tombstones so that an older copy cannot restore them. A target without a
  * row has state "in" and weight 100.
  *
+ * Rows of an external store are ordered by their version first, if operators
+ * number what they write, since the store may be restored from an older copy:
+ * its revisions go back and are given out again, and acknowledged changes are
+ * missing until operators write them again. Revisions of such rows therefore
+ * contain the store's era, which rises with each restore. Rows that the
+ * restored store lacks, or has in an older version, are held: they get a
+ * revision of the new era, so that processes which know only the restored
+ * store learn of them.
+ *
  * Not thread safe; callers must lock.
  */
 #ifndef JUJUBE_TABLE_H
@@ -40,6 +49,7 @@
 	uint32_t target_latency_ms;
 	Jj__RowState state;
 	uint64_t revision;
+	uint64_t version; /* of the item that the row comes from, 0: none */
 	char who[TBL_NAME_MAX];
 	uint64_t when;
 	char why[TBL_WHY_MAX];
@@ -133,29 +143,52 @@
 enum jj_status tbl_apply(struct tbl *tbl, const struct tbl_edits *edits,
 			 struct jj_error *err);
 
-/* Rows that tbl_replace_source() found to differ from those of the source. */
-struct tbl_replaced {
+/* Revision of a row or table for a revision of an external store. */
+uint64_t tbl_compose_revision(uint64_t era, uint64_t store_revision);
+
+/* Text of a revision: "ERA.REVISION" if it is of an external store. */
+struct tbl_revision_text {
+	char text[48];
+};
+struct tbl_revision_text tbl_format_revision(uint64_t revision);
+
+/* An item that operators wrote to an external store. */
+struct tbl_source {
+	const char *name; /* stored in the rows' change_id */
+	struct tbl_row *rows;
+	uint32_t count;
+	uint64_t version; /* operators' number of it, 0: none, or removed */
+	uint64_t revision; /* see tbl_compose_revision() */
+};
+
+/* Number of rows by what an update from a source did to them. */
+struct tbl_update {
 	uint32_t changed;
-	uint32_t ignored; /* left, as the table holds newer ones */
+	uint32_t ignored; /* differ, but the table's row is newer */
+	uint32_t held; /* not, or no longer, in the restored store */
 };
 
 /*
- * Replaces all rows that come from one source (an item that operators wrote
- * to an external store) by the given rows, as of revision. Rows that differ
- * are copied; rows of this source that are missing from the list are removed.
- * Rows with the same or a higher revision are unchanged. The source is stored
- * in the rows' change_id. JJ_INVALID: a row is invalid, and nothing was
- * changed. Doesn't change the table's revision, see tbl_raise_revision().
+ * Replaces all rows that come from one source. Rows that differ are copied;
+ * rows of this source that are missing from the list are removed. Rows of the
+ * same version with the same or a higher revision are unchanged. If the table
+ * has rows of a higher version, the source is outdated: nothing is replaced,
+ * and rows that a restored store has lost are held. JJ_INVALID: a row is
+ * invalid, and nothing was changed. Raises the table's revision only for held
+ * rows, see tbl_raise_revision().
  */
-enum jj_status tbl_replace_source(struct tbl *tbl, const char *source,
-				  const struct tbl_row *rows, uint32_t count,
-				  uint64_t revision,
-				  struct tbl_replaced *result,
+enum jj_status tbl_replace_source(struct tbl *tbl,
+				  const struct tbl_source *source,
+				  struct tbl_update *update,
 				  struct jj_error *err);
 
-/* Removes, as of revision, all rows whose source is not in sources. */
-uint32_t tbl_retain_sources(struct tbl *tbl, const char *const *sources,
-			    uint32_t count, uint64_t revision);
+/*
+ * Removes, as of revision, all rows whose source is not in sources. hold:
+ * rows from an earlier era of the store are held instead.
+ */
+void tbl_retain_sources(struct tbl *tbl, const char *const *sources,
+			uint32_t count, uint64_t revision, int hold,
+			struct tbl_update *update);
 
 /*
  * Sets the table's revision once all changes up to it were applied. A lower
--- a/src/core/flow.c
+++ b/src/core/flow.c
@@ -284,10 +284,10 @@
 			   work->head.service_port, work->service, 0)) {
 		met_add(work->call->flw->desc.met, MET_WRONG_SERVICE, 1);
 		log_put(work->call->flw->desc.log, EV_WRONG_SERVICE,
-			"flow=%08x:%u>%08x:%u revision=%llu",
+			"flow=%08x:%u>%08x:%u revision=%s",
 			work->head.caller_ip, work->head.caller_port,
 			work->head.service_ip, work->head.service_port,
-			(unsigned long long)work->call->view->revision);
+			tbl_format_revision(work->call->view->revision).text);
 		return;
 	}
 	if (work->packet->mode == FLW_MODE_HOME)
--- a/src/core/flow_place.c
+++ b/src/core/flow_place.c
@@ -349,11 +349,11 @@
 	const struct flw_packet *head = &work->head;
 
 	log_put(work->call->flw->desc.log, event,
-		"flow=%08x:%u>%08x:%u repeat=%u revision=%llu in_hand=%u "
+		"flow=%08x:%u>%08x:%u repeat=%u revision=%s in_hand=%u "
 		"tried=%zu %s=%s",
 		head->caller_ip, head->caller_port, head->service_ip,
 		head->service_port, head->repeat,
-		(unsigned long long)work->call->view->revision,
+		tbl_format_revision(work->call->view->revision).text,
 		(unsigned)work->call->flw->in_flight, work->packet->n_tried,
 		how, detail);
 }
--- a/src/core/flow_search.c
+++ b/src/core/flow_search.c
@@ -253,11 +253,11 @@
 	met_add(flw->desc.met, MET_WITHOUT_HOLDER, 1);
 	log_put(flw->desc.log, EV_FLOW_WITHOUT_HOLDER,
 		"flow=%08x:%u>%08x:%u ack=%u asked=%u silent=%u unknown=%u "
-		"reset=%d revision=%llu",
+		"reset=%d revision=%s",
 		work->head.caller_ip, work->head.caller_port,
 		work->head.service_ip, work->head.service_port, work->head.ack,
 		result->agent_count, result->silent, result->unknown, lost,
-		(unsigned long long)work->call->view->revision);
+		tbl_format_revision(work->call->view->revision).text);
 	if (lost)
 		flw_reset_caller(work->call, &work->head, work->head.ack);
 }
--- a/src/io/ingress.c
+++ b/src/io/ingress.c
@@ -55,11 +55,11 @@
 			   const struct flw_packet *head)
 {
 	log_put(&t->ing->nod->desc.log->sink, event,
-		"flow=%08x:%u>%08x:%u repeat=%u opens=%d revision=%llu "
+		"flow=%08x:%u>%08x:%u repeat=%u opens=%d revision=%s "
 		"agents=%u",
 		head->caller_ip, head->caller_port, head->service_ip,
 		head->service_port, head->repeat, head->opens,
-		(unsigned long long)view->revision, view->agent_count);
+		tbl_format_revision(view->revision).text, view->agent_count);
 }
 
 static void handle_unroutable(struct ing_thread *t, const struct viw *view,
--- a/src/io/node.c
+++ b/src/io/node.c
@@ -85,18 +85,16 @@
 	uint64_t before = nod->tbl.revision;
 	enum jj_status status = tbl_merge(&nod->tbl, table, err);
 
-	if (status != JJ_OK)
-		return status;
 	if (nod->tbl.revision != before) {
 		nod->revision = nod->tbl.revision;
 		mbr_set_revision(&nod->mbr, nod->tbl.revision);
 		nod->view_outdated = 1;
 		log_put(&nod->desc.log->sink, EV_TABLE_APPLIED,
-			"revision=%llu before=%llu rows=%u",
-			(unsigned long long)nod->tbl.revision,
-			(unsigned long long)before, nod->tbl.count);
+			"revision=%s before=%s rows=%u",
+			tbl_format_revision(nod->tbl.revision).text,
+			tbl_format_revision(before).text, nod->tbl.count);
 	}
-	return JJ_OK;
+	return status;
 }
 
 enum jj_status nod_merge_table(struct nod *nod, const Jj__Table *table,
@@ -134,46 +132,50 @@
 	mbr_set_revision(&nod->mbr, nod->tbl.revision);
 	nod->view_outdated = 1;
 	log_put(&nod->desc.log->sink, EV_TABLE_APPLIED,
-		"revision=%llu before=%llu changed=%u rows=%u",
-		(unsigned long long)nod->tbl.revision,
-		(unsigned long long)before, changed, nod->tbl.count);
+		"revision=%s before=%s changed=%u rows=%u",
+		tbl_format_revision(nod->tbl.revision).text,
+		tbl_format_revision(before).text, changed, nod->tbl.count);
 }
 
-void nod_replace_source(struct nod *nod, const char *source,
-			const struct tbl_row *rows, uint32_t count,
-			uint64_t revision)
+void nod_replace_source(struct nod *nod, const struct tbl_source *source)
 {
-	struct tbl_replaced result;
+	struct tbl_update update;
 	struct jj_error err;
+	uint64_t before;
 
 	pthread_mutex_lock(&nod->lock);
-	if (tbl_replace_source(&nod->tbl, source, rows, count, revision,
-			       &result, &err) != JJ_OK)
+	before = nod->tbl.revision;
+	if (tbl_replace_source(&nod->tbl, source, &update, &err) != JJ_OK)
 		log_put(&nod->desc.log->sink, EV_TABLE_INVALID,
-			"source=%s revision=%llu reason=%s", source,
-			(unsigned long long)revision, err.message);
-	if (result.ignored)
+			"source=%s revision=%s reason=%s", source->name,
+			tbl_format_revision(source->revision).text,
+			err.message);
+	if (update.ignored)
 		log_put(&nod->desc.log->sink, EV_ITEM_OUTDATED,
-			"source=%s revision=%llu held=%llu ignored=%u", source,
-			(unsigned long long)revision,
-			(unsigned long long)nod->tbl.revision, result.ignored);
-	publish_revision(nod, nod->tbl.revision, result.changed);
+			"source=%s version=%llu revision=%s table=%s "
+			"ignored=%u held=%u",
+			source->name, (unsigned long long)source->version,
+			tbl_format_revision(source->revision).text,
+			tbl_format_revision(before).text, update.ignored,
+			update.held);
+	publish_revision(nod, before, update.changed);
 	pthread_mutex_unlock(&nod->lock);
 }
 
-void nod_retain_sources(struct nod *nod, const char *const *sources,
-			uint32_t count, uint64_t revision)
+uint32_t nod_retain_sources(struct nod *nod, const char *const *sources,
+			    uint32_t count, uint64_t revision, int hold)
 {
+	struct tbl_update update;
 	uint64_t before;
-	uint32_t changed;
 
 	pthread_mutex_lock(&nod->lock);
 	before = nod->tbl.revision;
-	changed = tbl_retain_sources(&nod->tbl, sources, count, revision);
-	if (changed)
+	tbl_retain_sources(&nod->tbl, sources, count, revision, hold, &update);
+	if (update.changed)
 		tbl_raise_revision(&nod->tbl, revision);
-	publish_revision(nod, before, changed);
+	publish_revision(nod, before, update.changed);
 	pthread_mutex_unlock(&nod->lock);
+	return update.held;
 }
 
 void nod_raise_revision(struct nod *nod, uint64_t revision)
@@ -400,11 +402,11 @@
 
 		fprintf(out,
 			"member name=%s data_centre=%s service=%s state=%s "
-			"phase=%s revision=%llu incarnation=%llu version=%u\n",
+			"phase=%s revision=%s incarnation=%llu version=%u\n",
 			member->name, member->data_centre,
 			*member->service ? member->service : "-",
 			liveness[member->liveness], phases[member->phase],
-			(unsigned long long)member->revision,
+			tbl_format_revision(member->revision).text,
 			(unsigned long long)member->incarnation,
 			member->version);
 	}
@@ -418,10 +420,10 @@
 	pthread_mutex_lock(&nod->lock);
 	fprintf(out,
 		"process name=%s incarnation=%llu uptime_s=%llu "
-		"revision=%llu rows=%u members=%u confirmed_ms_ago=%lld\n",
+		"revision=%s rows=%u members=%u confirmed_ms_ago=%lld\n",
 		nod->desc.name, (unsigned long long)nod->incarnation,
 		(unsigned long long)((now - nod->started_ms) / 1000),
-		(unsigned long long)nod->tbl.revision, nod->tbl.count,
+		tbl_format_revision(nod->tbl.revision).text, nod->tbl.count,
 		nod->mbr.live_count,
 		nod->confirmed_ms ? (long long)(now - nod->confirmed_ms) : -1);
 	dump_members(nod, out);
--- a/src/io/node.h
+++ b/src/io/node.h
@@ -166,13 +166,12 @@
 /*
  * Apply tbl_replace_source() (errors are logged), tbl_retain_sources() and
  * tbl_raise_revision() to this process's table. If that changes it, its
- * revision is announced and the view is rebuilt.
+ * revision is announced and the view is rebuilt. nod_retain_sources() returns
+ * the number of held rows.
  */
-void nod_replace_source(struct nod *nod, const char *source,
-			const struct tbl_row *rows, uint32_t count,
-			uint64_t revision);
-void nod_retain_sources(struct nod *nod, const char *const *sources,
-			uint32_t count, uint64_t revision);
+void nod_replace_source(struct nod *nod, const struct tbl_source *source);
+uint32_t nod_retain_sources(struct nod *nod, const char *const *sources,
+			    uint32_t count, uint64_t revision, int hold);
 void nod_raise_revision(struct nod *nod, uint64_t revision);
 
 /*
--- a/src/io/registry.c
+++ b/src/io/registry.c
@@ -34,6 +34,47 @@
 	return &items->items[items->count++];
 }
 
+/* -- restores of the store ----------------------------------------------- */
+
+/* Drops what the store acknowledged in earlier eras. */
+static void enter_era(struct reg *reg, uint64_t era)
+{
+	log_put(reg->desc.log, EV_PLATFORM_RESTORED,
+		"era=%llu before=%llu as_of=%llu lease=%llu watching=%d",
+		(unsigned long long)era, (unsigned long long)reg->era,
+		(unsigned long long)reg->as_of, (unsigned long long)reg->lease,
+		reg->watching);
+	reg->as_of = 0;
+	reg->lease = 0;
+	if (reg->step > REG_REGISTER)
+		reg->step = REG_REGISTER;
+}
+
+/*
+ * Compares the era of a response with that of this process. REG_RESTORED: the
+ * process has entered a new era, and the call must be made again. REG_REFUSED:
+ * the response is from an earlier era.
+ */
+static enum reg_status check_era(struct reg *reg, enum reg_status status)
+{
+	uint64_t era = reg->desc.store.era(reg->desc.store.ctx);
+
+	if (reg->era_known && era < reg->era)
+		return REG_REFUSED;
+	if (reg->era_known && era == reg->era)
+		return status;
+	reg->hold_until = net_now_ms() + REG_HOLD_MS;
+	if (reg->era_known) {
+		enter_era(reg, era);
+		status = REG_RESTORED;
+	}
+	reg->era = era;
+	reg->era_known = 1;
+	return status;
+}
+
+/* -- lists --------------------------------------------------------------- */
+
 /*
  * Reads all pages of a prefix. as_of is that of the first page, since later
  * pages may be newer.
@@ -49,7 +90,8 @@
 	for (page = 0; page < REG_PAGES; page++) {
 		uint64_t as_of = out->as_of;
 		enum reg_status status =
-			store->list(store->ctx, prefix, after, stale, out);
+			check_era(reg, store->list(store->ctx, prefix, after,
+						   stale, out));
 
 		if (page)
 			out->as_of = as_of;
@@ -117,6 +159,7 @@
 	enum reg_status status = REG_OK;
 	uint8_t packed[512];
 	char key[201];
+	uint64_t lease = 0;
 	size_t len = 0;
 
 	if (!member)
@@ -124,13 +167,16 @@
 	if (jj__member__get_packed_size(member) <= sizeof(packed))
 		len = jj__member__pack(member, packed);
 	jj__member__free_unpacked(member, NULL);
-	if (!reg->lease)
-		status = store->grant(store->ctx, reg->desc.lease_ms,
-				      &reg->lease);
+	if (!reg->lease) {
+		status = store->grant(store->ctx, reg->desc.lease_ms, &lease);
+		status = check_era(reg, status);
+		reg->lease = status == REG_OK ? lease : 0;
+	}
 	if (status != REG_OK)
 		return status;
 	member_key(reg, reg->nod->desc.name, key, sizeof(key));
 	status = store->put(store->ctx, key, packed, len, reg->lease);
+	status = check_era(reg, status);
 	if (status == REG_ABSENT)
 		reg->lease = 0;
 	if (status != REG_OK)
@@ -176,7 +222,8 @@
 static enum reg_status renew_lease(struct reg *reg)
 {
 	const struct reg_store *store = &reg->desc.store;
-	enum reg_status status = store->renew(store->ctx, reg->lease);
+	enum reg_status status =
+		check_era(reg, store->renew(store->ctx, reg->lease));
 
 	if (status == REG_OK) {
 		reg->renew_at = net_now_ms() + reg->desc.lease_ms / 2;
@@ -196,14 +243,16 @@
 static void apply_item(struct reg *reg, const struct reg_item *item)
 {
 	const struct reg_store *store = &reg->desc.store;
-	struct tbl_row *rows = NULL;
-	uint32_t count = 0;
+	struct tbl_source source = {
+		.name = item->key,
+		.revision = tbl_compose_revision(reg->era, item->revision),
+	};
 
-	if (!item->removed && store->to_rows(store->ctx, item, &rows, &count,
-					     reg->desc.log) != JJ_OK)
+	if (!item->removed &&
+	    store->to_rows(store->ctx, item, &source, reg->desc.log) != JJ_OK)
 		return;
-	nod_replace_source(reg->nod, item->key, rows, count, item->revision);
-	free(rows);
+	nod_replace_source(reg->nod, &source);
+	free(source.rows);
 }
 
 /*
@@ -218,11 +267,39 @@
 	for (i = 0; i < items->count; i++)
 		if (items->items[i].revision > newest)
 			newest = items->items[i].revision;
-	nod_raise_revision(reg->nod, newest);
+	if (newest)
+		nod_raise_revision(reg->nod,
+				   tbl_compose_revision(reg->era, newest));
 	if (items->as_of > reg->as_of)
 		reg->as_of = items->as_of;
 }
 
+static int is_holding(const struct reg *reg)
+{
+	return net_now_ms() < reg->hold_until;
+}
+
+/* Removes, or holds, the rows of sources that a list does not contain. */
+static void retain_sources(struct reg *reg, const char *const *sources,
+			   const struct reg_items *items)
+{
+	int hold = is_holding(reg);
+	uint32_t held = nod_retain_sources(
+		reg->nod, sources, (uint32_t)items->count,
+		tbl_compose_revision(reg->era, items->as_of), hold);
+
+	if (held != reg->held_rows)
+		log_put(reg->desc.log, EV_ROWS_HELD,
+			"held=%u before=%u for_ms=%llu era=%llu as_of=%llu",
+			held, reg->held_rows,
+			(unsigned long long)(hold ? reg->hold_until -
+							     net_now_ms() :
+						    0),
+			(unsigned long long)reg->era,
+			(unsigned long long)items->as_of);
+	reg->held_rows = held;
+}
+
 static enum reg_status read_table(struct reg *reg, int stale)
 {
 	const char *sources[REG_SOURCES];
@@ -242,8 +319,7 @@
 		sources[i] = items.items[i].key;
 	}
 	if (status == REG_OK) {
-		nod_retain_sources(reg->nod, sources, (uint32_t)items.count,
-				   items.as_of);
+		retain_sources(reg, sources, &items);
 		update_revision(reg, &items);
 	}
 	reg_items_free(&items);
@@ -262,8 +338,15 @@
 
 	if (wait > reg->desc.watch_ms)
 		wait = reg->desc.watch_ms;
-	status = store->watch(store->ctx, store->item_prefix, reg->as_of,
-			      (uint32_t)wait, &items);
+	/*
+	 * A restored store accepts a watch from a revision that it has given
+	 * out again, and shows its era only in the response.
+	 */
+	if (reg->failures)
+		wait = REG_CHECK_WAIT_MS;
+	status = check_era(reg,
+			   store->watch(store->ctx, store->item_prefix,
+					reg->as_of, (uint32_t)wait, &items));
 	for (i = 0; status == REG_OK && i < items.count; i++)
 		apply_item(reg, &items.items[i]);
 	if (status == REG_OK)
@@ -282,23 +365,6 @@
 	return status == REG_OK && reg->as_of == before ? REG_REFUSED : status;
 }
 
-/* -- restores of the store ----------------------------------------------- */
-
-static void update_era(struct reg *reg)
-{
-	const struct reg_store *store = &reg->desc.store;
-	uint64_t era = store->era(store->ctx);
-
-	if (reg->era_known && era > reg->era)
-		log_put(reg->desc.log, EV_PLATFORM_RESTORED,
-			"era=%llu before=%llu as_of=%llu lease=%llu watching=%d",
-			(unsigned long long)era, (unsigned long long)reg->era,
-			(unsigned long long)reg->as_of,
-			(unsigned long long)reg->lease, reg->watching);
-	reg->era = era;
-	reg->era_known = 1;
-}
-
 /* -- thread -------------------------------------------------------------- */
 
 static void update_watching(struct reg *reg)
@@ -316,17 +382,24 @@
 		(unsigned)reg->nod->live_peers);
 }
 
+/* Whether held rows are to be compared with the store a last time. */
+static int is_release_due(const struct reg *reg)
+{
+	return reg->held_rows && !is_holding(reg);
+}
+
 /* Whether no call is due, as other processes watch the operators' items. */
 static int is_idle(const struct reg *reg)
 {
 	return reg->as_of && reg->step == REG_REGISTERED && !reg->watching &&
-	       !reg->stale_read_due && net_now_ms() < reg->renew_at;
+	       !reg->stale_read_due && !is_release_due(reg) &&
+	       net_now_ms() < reg->renew_at;
 }
 
 /* Makes the most urgent call that is due. */
 static enum reg_status run_due_call(struct reg *reg)
 {
-	if (!reg->as_of)
+	if (!reg->as_of || is_release_due(reg))
 		return read_table(reg, 0);
 	if (reg->step == REG_REGISTER)
 		return register_process(reg);
@@ -353,8 +426,7 @@
 			continue;
 		}
 		status = run_due_call(reg);
-		update_era(reg);
-		if (status == REG_OK)
+		if (status == REG_OK || status == REG_RESTORED)
 			reset_backoff(reg);
 		else if (!reg->stopping)
 			back_off(reg);
--- a/src/io/registry.h
+++ b/src/io/registry.h
@@ -13,7 +13,15 @@
  *    table. There is no election: when a watcher is declared dead, the next in
  *    rank takes over. Rows are replaced item by item; a full list, read after
  *    a gap in the history, also removes rows whose item no longer exists.
- *    Revisions only rise: an older response changes nothing.
+ *    Within an era of the store, revisions only rise: an older response
+ *    changes nothing.
+ *  - notices in any response that the store was restored from an older copy,
+ *    as its era has risen. What it acknowledged in earlier eras no longer
+ *    counts: the process registers again under a new lease, since the id of the
+ *    old one may belong to another process, and reads all items again, since
+ *    the revision that it had reached may be given out again. Items that the
+ *    restored store lacks stay in force for REG_HOLD_MS, in which operators are
+ *    expected to write them again.
  *
  * Calls to the store: one renewal every lease_ms / 2. With it, processes that
  * do not watch read a list that may be seconds old, in case all watchers are
@@ -33,7 +41,13 @@
 #define REG_WATCHERS 2 /* per data centre, as one may be frozen or refused */
 /* Earlier, new members may not know each other, and all would watch. */
 #define REG_WATCH_DELAY_MS 1000
+#define REG_CHECK_WAIT_MS 1 /* of the first watch after a failed call */
 #define REG_IDLE_MS 100 /* interval to check for due calls */
+/*
+ * After a start or a restore of the store. A process that starts may receive
+ * rows from peers that the restored store lacks.
+ */
+#define REG_HOLD_MS 30000
 
 enum reg_status {
 	REG_OK,
@@ -41,6 +55,7 @@
 	REG_CHANGED, /* a condition of the call does not hold */
 	REG_REFUSED, /* not done: store busy, or call not allowed */
 	REG_UNKNOWN, /* no response: may have taken effect, or still may */
+	REG_RESTORED, /* the store was restored: the response is not used */
 };
 
 struct reg_item {
@@ -81,9 +96,9 @@
 	 * response.
 	 */
 	uint64_t (*era)(void *ctx);
-	/* Converts an item to table rows, on the heap. */
+	/* Sets the version and the rows of an item, which are on the heap. */
 	enum jj_status (*to_rows)(void *ctx, const struct reg_item *item,
-				  struct tbl_row **rows, uint32_t *count,
+				  struct tbl_source *source,
 				  const struct log_sink *log);
 	const char *member_prefix; /* of the keys of member entries */
 	const char *item_prefix; /* of the keys of operators' items */
@@ -119,6 +134,8 @@
 	enum reg_step step; /* next step of joining */
 	uint64_t era; /* of the store, see reg_store.era */
 	int era_known;
+	uint64_t hold_until; /* ms, see REG_HOLD_MS */
+	uint32_t held_rows; /* rows held in the last list */
 	uint64_t as_of; /* revision up to which items are known, 0: none */
 	uint64_t watch_from; /* ms; this process does not watch before */
 	int watching;
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -111,21 +111,22 @@
 struct decoded {
 	std::vector<tbl_row> rows;
 	std::vector<std::string> log;
+	uint64_t version;
 	jj_status status;
 
 	decoded(const char *key, const std::string &value)
 	{
 		reg_item item = {};
-		tbl_row *list = nullptr;
-		uint32_t count = 0;
+		tbl_source source = {};
 		log_sink sink = { on_log, this };
 
 		snprintf(item.key, sizeof(item.key), "%s", key);
 		item.value = (uint8_t *)value.data();
 		item.len = value.size();
-		status = pf_parse_item(nullptr, &item, &list, &count, &sink);
-		rows.assign(list, list + count);
-		free(list);
+		status = pf_parse_item(nullptr, &item, &source, &sink);
+		version = source.version;
+		rows.assign(source.rows, source.rows + source.count);
+		free(source.rows);
 	}
 	static void on_log(void *ctx, log_event, log_level, const char *line)
 	{
@@ -157,6 +158,7 @@
 	decoded got("op/config", CONFIG);
 
 	EXPECT_EQ(got.status, JJ_OK);
+	EXPECT_EQ(got.version, 7u);
 	EXPECT_EQ(got.rows.size(), 5u);
 	EXPECT_TRUE(got.log.empty());
 	ASSERT_TRUE(got.find("r-1.desk"));
--- a/tests/relay.sh
+++ b/tests/relay.sh
@@ -187,12 +187,12 @@
 	sleep 3
 	for name in balancer-1 balancer-2 agent-{1..6}; do
 		case " $watchers " in *" $name "*) continue ;; esac
-		has_table_revision "$name" "$revision" || fail "$name has an old table"
+		has_table_revision "$name" "1.$revision" || fail "$name has an old table"
 	done
 	for name in $watchers; do kill -CONT "${pids[$name]}"; done
 	sleep 3
 	for name in $watchers; do
-		has_table_revision "$name" "$revision" || fail "$name has an old table after the pause"
+		has_table_revision "$name" "1.$revision" || fail "$name has an old table after the pause"
 	done
 	for name in $watchers; do
 		case " $(list_watchers) " in *" $name "*) continue ;; esac
--- a/tests/relay_fake.h
+++ b/tests/relay_fake.h
@@ -186,13 +186,13 @@
 
 	void set_rows(const char *source, std::vector<tbl_row> list)
 	{
-		tbl_replaced result;
+		tbl_update update;
 		jj_error err;
 		uint64_t revision = table.revision + 1;
+		tbl_source item = { source, list.data(), (uint32_t)list.size(),
+				    0, revision };
 
-		EXPECT_EQ(tbl_replace_source(&table, source, list.data(),
-					     (uint32_t)list.size(), revision,
-					     &result, &err),
+		EXPECT_EQ(tbl_replace_source(&table, &item, &update, &err),
 			  JJ_OK)
 			<< err.message;
 		tbl_raise_revision(&table, revision);
--- /dev/null
+++ b/tests/restore_test.cc
@@ -0,0 +1,380 @@
+/*
+ * Tables read from a store that is restored from older copies: it loses
+ * acknowledged changes and gives their revisions out again.
+ */
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "jujube/table.h"
+}
+
+static const char CONFIG[] = "op/config";
+static const Jj__RowState REMOVED = JJ__ROW_STATE__STATE_REMOVED;
+
+/* Names of services and their flow limits. */
+using config = std::map<std::string, uint32_t>;
+
+/* The naive version: what operators want, and a store that may forget it. */
+struct operators_store {
+	struct item {
+		uint64_t revision;
+		uint64_t version;
+		config services; /* empty: an evacuation */
+	};
+	struct state {
+		std::map<std::string, item> items;
+		uint64_t revision = 10;
+	};
+	state now;
+	state copy;
+	uint64_t era = 1;
+	uint64_t version = 0;
+	config services;
+	std::set<std::string> evacuated;
+
+	void write_config()
+	{
+		now.items[CONFIG] = { ++now.revision, version, services };
+	}
+	void set_config(const config &wanted)
+	{
+		services = wanted;
+		version += 2;
+		write_config();
+	}
+	void evacuate(const std::string &zone)
+	{
+		evacuated.insert(zone);
+		now.items["op/evacuate/" + zone] = { ++now.revision, 0, {} };
+	}
+	void take_back(const std::string &zone)
+	{
+		evacuated.erase(zone);
+		if (now.items.erase("op/evacuate/" + zone))
+			now.revision++;
+	}
+	void restore()
+	{
+		now = copy;
+		era++;
+	}
+	/* Operators repeat what differs from what they want. */
+	void write_again()
+	{
+		std::set<std::string> zones = evacuated;
+
+		if (version && (!now.items.count(CONFIG) ||
+				now.items[CONFIG].version != version))
+			write_config();
+		for (auto &zone : { "z0", "z1" }) {
+			int stored = (int)now.items.count("op/evacuate/" +
+							  std::string(zone));
+
+			if (zones.count(zone) && !stored)
+				evacuate(zone);
+			if (!zones.count(zone) && stored)
+				take_back(zone);
+		}
+	}
+};
+
+/* A process's table, fed by lists of the store and by peers. */
+struct replica {
+	struct tbl tbl;
+
+	replica()
+	{
+		EXPECT_TRUE(tbl_init(&tbl, 64));
+	}
+	~replica()
+	{
+		tbl_finish(&tbl);
+	}
+	replica(const replica &) = delete;
+	replica &operator=(const replica &) = delete;
+
+	void apply(const char *name, std::vector<tbl_row> rows,
+		   uint64_t version, uint64_t revision)
+	{
+		tbl_source source = { name, rows.data(), (uint32_t)rows.size(),
+				      version, revision };
+		tbl_update update;
+		jj_error err;
+
+		EXPECT_EQ(tbl_replace_source(&tbl, &source, &update, &err),
+			  JJ_OK);
+	}
+	void list(const operators_store &store, int hold)
+	{
+		std::vector<const char *> sources;
+		uint64_t newest = 0;
+		tbl_update update;
+
+		for (auto &entry : store.now.items) {
+			auto &item = entry.second;
+			std::vector<tbl_row> rows;
+			tbl_row row = {};
+
+			row.weight = TBL_WEIGHT_DEFAULT;
+			row.kind = JJ__KIND__KIND_SERVICE;
+			for (auto &service : item.services) {
+				snprintf(row.name, sizeof(row.name), "%s",
+					 service.first.c_str());
+				row.max_flows = service.second;
+				rows.push_back(row);
+			}
+			if (entry.first != CONFIG) {
+				row.kind = JJ__KIND__KIND_DATA_CENTRE;
+				row.state = JJ__ROW_STATE__STATE_DRAINING;
+				snprintf(row.name, sizeof(row.name), "%s",
+					 entry.first.c_str() +
+						 strlen("op/evacuate/"));
+				rows.push_back(row);
+			}
+			apply(entry.first.c_str(), rows, item.version,
+			      tbl_compose_revision(store.era, item.revision));
+			sources.push_back(entry.first.c_str());
+			if (item.revision > newest)
+				newest = item.revision;
+		}
+		tbl_retain_sources(
+			&tbl, sources.data(), (uint32_t)sources.size(),
+			tbl_compose_revision(store.era, store.now.revision),
+			hold, &update);
+		if (update.changed)
+			tbl_raise_revision(
+				&tbl, tbl_compose_revision(store.era,
+							   store.now.revision));
+		if (newest)
+			tbl_raise_revision(
+				&tbl, tbl_compose_revision(store.era, newest));
+	}
+	/* As processes do: only a peer with a higher revision is asked. */
+	void pull(const replica &peer)
+	{
+		size_t len = 0;
+		uint8_t *packed;
+		Jj__Table *msg;
+		jj_error err;
+
+		if (peer.tbl.revision <= tbl.revision)
+			return;
+		packed = tbl_pack(&peer.tbl, tbl.revision, &len);
+		msg = jj__table__unpack(NULL, len, packed);
+		EXPECT_EQ(tbl_merge(&tbl, msg, &err), JJ_OK) << err.message;
+		jj__table__free_unpacked(msg, NULL);
+		free(packed);
+	}
+	config services() const
+	{
+		config out;
+
+		for (uint32_t i = 0; i < tbl.count; i++)
+			if (tbl.rows[i].kind == JJ__KIND__KIND_SERVICE &&
+			    tbl.rows[i].state != REMOVED)
+				out[tbl.rows[i].name] = tbl.rows[i].max_flows;
+		return out;
+	}
+	std::set<std::string> evacuated() const
+	{
+		std::set<std::string> out;
+
+		for (uint32_t i = 0; i < tbl.count; i++)
+			if (tbl.rows[i].kind == JJ__KIND__KIND_DATA_CENTRE &&
+			    tbl.rows[i].state != REMOVED)
+				out.insert(tbl.rows[i].name);
+		return out;
+	}
+};
+
+struct restored_store : testing::Test {
+	operators_store store;
+	replica a;
+	replica b;
+
+	/* Version 2 is in the copy, version 4 only in the tables. */
+	void SetUp() override
+	{
+		store.set_config({ { "desk", 1 }, { "vault", 1 } });
+		store.copy = store.now;
+		store.set_config({ { "desk", 2 } });
+		store.evacuate("z0");
+		a.list(store, 1);
+		b.list(store, 1);
+		store.restore();
+	}
+};
+
+/* The change has the revision of one that both tables knew and lost. */
+TEST_F(restored_store, AChangeAtAReissuedRevisionReachesPeers)
+{
+	store.write_again();
+	store.take_back("z0");
+	store.set_config({ { "desk", 3 } });
+	a.list(store, 1);
+	b.pull(a);
+	EXPECT_EQ(a.services(), (config{ { "desk", 3 } }));
+	EXPECT_EQ(b.services(), (config{ { "desk", 3 } }));
+}
+
+TEST_F(restored_store, TheOlderCopyReplacesNothing)
+{
+	a.list(store, 1);
+	EXPECT_EQ(a.services(), (config{ { "desk", 2 } }));
+	EXPECT_EQ(a.evacuated(), (std::set<std::string>{ "z0" }));
+}
+
+TEST_F(restored_store, AProcessThatKnowsOnlyTheCopyLearnsWhatIsLost)
+{
+	replica started;
+
+	started.list(store, 1);
+	EXPECT_EQ(started.services(),
+		  (config{ { "desk", 1 }, { "vault", 1 } }));
+	/* It spreads the copy first, as its revision is of the new era. */
+	b.pull(started);
+	EXPECT_EQ(b.services(), (config{ { "desk", 2 } }));
+	started.pull(b);
+	EXPECT_EQ(started.services(), (config{ { "desk", 2 } }));
+	a.list(store, 1);
+	started.pull(a);
+	EXPECT_EQ(started.evacuated(), (std::set<std::string>{ "z0" }));
+}
+
+TEST_F(restored_store, HeldRowsEndWithTheHold)
+{
+	a.list(store, 1);
+	a.list(store, 1);
+	EXPECT_EQ(a.evacuated(), (std::set<std::string>{ "z0" }));
+	b.pull(a);
+	a.list(store, 0);
+	b.pull(a);
+	EXPECT_TRUE(a.evacuated().empty());
+	EXPECT_TRUE(b.evacuated().empty());
+	/* A lost version ends only with a higher one. */
+	EXPECT_EQ(a.services(), (config{ { "desk", 2 } }));
+}
+
+TEST_F(restored_store, RowsWrittenInTheNewEraAreNotHeld)
+{
+	store.write_again();
+	store.evacuate("z1");
+	a.list(store, 1);
+	store.take_back("z1");
+	a.list(store, 1);
+	EXPECT_EQ(a.evacuated(), (std::set<std::string>{ "z0" }));
+}
+
+/* A held row must be above the revision of every process that read the copy. */
+TEST_F(restored_store, ManyHeldRowsShareOneRevision)
+{
+	config large;
+	replica started;
+
+	for (int i = 0; i < 40; i++)
+		large["s" + std::to_string(i)] = 1;
+	large["desk"] = 3;
+	large["vault"] = 3;
+	store.era--;
+	store.set_config(large);
+	a.list(store, 1);
+	store.restore();
+	started.list(store, 1);
+	a.list(store, 1);
+	started.pull(a);
+	EXPECT_EQ(started.services(), large);
+	/* One for the configuration, one for the evacuation. */
+	EXPECT_EQ(a.tbl.revision,
+		  tbl_compose_revision(store.era, store.now.revision) + 2);
+}
+
+/*
+ * One of the tables reads the store, the others pull. Whatever operators write
+ * and the store forgets: once operators have written again, all agree with
+ * them, and no table returns to an older version in between.
+ */
+RC_GTEST_PROP(Restored, TablesConvergeOnWhatOperatorsWant,
+	      (std::vector<std::pair<uint8_t, uint8_t>> steps))
+{
+	operators_store store;
+	std::vector<std::unique_ptr<replica>> all;
+	std::map<replica *, uint32_t> highest;
+
+	for (int i = 0; i < 4; i++)
+		all.push_back(std::make_unique<replica>());
+	store.set_config({ { "desk", 0 }, { "vault", 0 } });
+	store.copy = store.now;
+	for (auto &step : steps) {
+		replica &one = *all[step.second % 4];
+		std::string zone = step.second % 2 ? "z1" : "z0";
+
+		switch (step.first % 10) {
+		case 0:
+		case 1:
+			/*
+			 * The limit of desk is the version. Each version
+			 * changes all rows.
+			 */
+			store.set_config(
+				{ { "desk", (uint32_t)store.version + 2 },
+				  { "vault", (uint32_t)store.version } });
+			break;
+		case 2:
+			store.evacuate(zone);
+			break;
+		case 3:
+			store.take_back(zone);
+			break;
+		case 4:
+			store.copy = store.now;
+			break;
+		case 5:
+			store.restore();
+			break;
+		case 6:
+			store.write_again();
+			break;
+		case 7:
+			one.list(store, 1);
+			break;
+		case 8:
+			one.pull(*all[(step.second / 4u) % 4]);
+			break;
+		case 9:
+			highest.erase(&one);
+			all[step.second % 4] = std::make_unique<replica>();
+			break;
+		}
+		for (auto &table : all) {
+			config services = table->services();
+			uint32_t version =
+				services.count("desk") ? services["desk"] : 0;
+
+			RC_ASSERT(version >= highest[table.get()]);
+			highest[table.get()] = version;
+		}
+	}
+	store.write_again();
+	store.set_config({ { "desk", (uint32_t)store.version + 2 },
+			   { "vault", (uint32_t)store.version } });
+	all[0]->list(store, 0);
+	for (int round = 0; round < 8; round++)
+		for (auto &to : all)
+			for (auto &from : all)
+				to->pull(*from);
+	for (auto &table : all)
+		RC_ASSERT(table->services() == store.services);
+	/* Evacuations have no version: each process compares them itself. */
+	for (auto &table : all)
+		table->list(store, 0);
+	for (auto &table : all)
+		RC_ASSERT(table->evacuated() == store.evacuated);
+}
--- a/tests/table_test.cc
+++ b/tests/table_test.cc
@@ -458,7 +458,7 @@
 
 struct rows_by_source : testing::Test {
 	tbl table;
-	tbl_replaced result = {};
+	tbl_update update = {};
 	jj_error err;
 
 	void SetUp() override
@@ -482,9 +482,10 @@
 	jj_status replace(const char *source, std::vector<tbl_row> rows,
 			  uint64_t revision)
 	{
-		return tbl_replace_source(&table, source, rows.data(),
-					  (uint32_t)rows.size(), revision,
-					  &result, &err);
+		tbl_source item = { source, rows.data(), (uint32_t)rows.size(),
+				    0, revision };
+
+		return tbl_replace_source(&table, &item, &update, &err);
 	}
 	const tbl_row *find(const char *name)
 	{
@@ -496,9 +497,9 @@
 {
 	ASSERT_EQ(replace("config", { service("a", 1), service("b", 1) }, 5),
 		  JJ_OK);
-	EXPECT_EQ(result.changed, 2u);
+	EXPECT_EQ(update.changed, 2u);
 	ASSERT_EQ(replace("config", { service("a", 1) }, 9), JJ_OK);
-	EXPECT_EQ(result.changed, 1u);
+	EXPECT_EQ(update.changed, 1u);
 	EXPECT_EQ(find("a")->revision, 5u);
 	EXPECT_EQ(find("b")->state, JJ__ROW_STATE__STATE_REMOVED);
 	EXPECT_EQ(find("b")->revision, 9u);
@@ -509,8 +510,8 @@
 	ASSERT_EQ(replace("config", { service("a", 2), service("c", 2) }, 9),
 		  JJ_OK);
 	ASSERT_EQ(replace("config", { service("a", 1) }, 5), JJ_OK);
-	EXPECT_EQ(result.changed, 0u);
-	EXPECT_EQ(result.ignored, 2u);
+	EXPECT_EQ(update.changed, 0u);
+	EXPECT_EQ(update.ignored, 2u);
 	EXPECT_EQ(find("a")->max_flows, 2u);
 	EXPECT_EQ(find("c")->state, JJ__ROW_STATE__STATE_IN);
 	tbl_raise_revision(&table, 9);
@@ -525,7 +526,8 @@
 	ASSERT_EQ(replace("config", { service("a", 1) }, 5), JJ_OK);
 	ASSERT_EQ(replace("extra", { service("b", 1) }, 6), JJ_OK);
 	ASSERT_EQ(replace("newer", { service("c", 1) }, 20), JJ_OK);
-	EXPECT_EQ(tbl_retain_sources(&table, left, 1, 10), 1u);
+	tbl_retain_sources(&table, left, 1, 10, 0, &update);
+	EXPECT_EQ(update.changed, 1u);
 	EXPECT_EQ(find("a")->state, JJ__ROW_STATE__STATE_IN);
 	EXPECT_EQ(find("b")->state, JJ__ROW_STATE__STATE_REMOVED);
 	/* learned from a peer after the list was made */
