Split the table's source file, and prove the mechanisms for restored stores

No function changes; those shared between the files get the module's prefix.

make prove: rows 10, R8 and R21 follow their code. R40 to R45 disable the era, the order by version, rows that were removed since, and holds; each test of them then fails. The era needed a test of its own: for configurations the version alone suffices, an evacuation at a reissued revision reaches peers only by the era (restored_store.AnEvacuation*, passes; fails without the era).

--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -8,7 +8,7 @@
 git ls-files -z | xargs -0 cp --parents -t "$copy"
 cd "$copy" || exit 1
 cmake -S . -B build -G Ninja -DJJ_WERROR=OFF >/dev/null
-ninja -C build core_test table_test admit_test agent_test member_test flow_test load_test \
+ninja -C build core_test table_test restore_test admit_test agent_test member_test flow_test load_test \
 	platform_test >/dev/null || exit 1
 passed=0
 failed=0
@@ -71,7 +71,7 @@
 mechanism 7 $core/agent_echo.c 's/return AGT_ECHO_KEY_LOST;/return AGT_ECHO_NONE;/' agent 'UnsafeRequests.ACrashed*'
 mechanism 7 $core/agent_handover.c 's/	for (i = 0; i < handover->n_requests; i++)/	for (i = 0; i < 0; i++)/' agent 'UnsafeRequests.*Restarted'
 mechanism 8 $core/agent.c 's/if (!rx->msg.unsafe || rx->packet->mode == AGT_GUEST)/if (1)/' agent 'Draining.*'
-mechanism 10 $core/table.c 's/return row->revision > held->revision;/return 1;/' table 'Table.*'
+mechanism 10 $core/table_merge.c 's/return row->revision > held->revision;/return 1;/' table 'Table.*'
 mechanism 10 $core/edit.c 's/index > edt->unknown_index/index != edt->unknown_index/' table 'outstanding_swap.AnOlder*'
 mechanism 10 $core/edit.c 's/if (!edt->has_unknown) {/if (1) {/' table 'outstanding_swap.Conflict*'
 mechanism 10 $core/edit.c 's/^	edt->has_unknown = 0;//; s/edt->has_unknown = 1;//' table 'outstanding_swap.*'
@@ -83,7 +83,7 @@
 mechanism R5 $core/flow_search.c 's/return work->call->flw->members_known .*/return/; s/^	       !result->unknown \&\& !result->partial \&\&$/	       1 \&\&/; s/^	       next_service(work, NULL) == work->service &&$/	       1 \&\&/' flow 'Flows.AreNotResetInDoubt:Sizes/Lost.FlowsAreResetOnProofOnly/*'
 mechanism R6 $core/flow_search.c 's/return ack - target_isn <= FLW_ACK_SPAN;/return 1;/' flow 'Seeds/FlowSeeds.FindTheirTarget*'
 mechanism R7 $core/flow.c 's/flow = adopt_flow(call, shard, key, &head);/;/' flow 'Seeds/FlowSeeds.OpenByAnAnswer*'
-mechanism R8 $core/table.c 's/held->revision >= revision || has_same_content/has_same_content/' table 'rows_by_source.AnOlder*'
+mechanism R8 $core/table_source.c 's/held->revision >= row->revision/0/' table 'rows_by_source.AnOlder*'
 mechanism R9 $core/flow_pending.c 's/entry->queued_at > next->queued_at/entry->queued_at < next->queued_at/' load 'Load.AFresh*'
 mechanism R10 $core/flow_place.c 's/return work->head.repeat && cap > queue ? cap - queue : cap;/return cap;/' load 'Load.ALater*'
 mechanism R11 $core/flow_pending.c 's/^		flw_try_place(&work);$/		;/' flow 'Opening.GoesToAnotherHome*'
@@ -97,7 +97,7 @@
 mechanism R18 platform/packet.c 's/^	put32(data + AT_ECHO, 0);/	;/' platform 'Packet.*'
 mechanism R19 platform/packet.c 's/^	to_caller = .*/	to_caller = 0;/' platform 'Packet.*'
 mechanism R20 platform/decode.c 's/(strcmp(state, "ready") \&\& strcmp(state, "draining"))/0/' platform '*'
-mechanism R21 $core/table.c 's/^	if (revision > tbl->revision)$/	if (1)/' table 'rows_by_source.*'
+mechanism R21 $core/table_source.c 's/^	if (revision > tbl->revision)$/	if (1)/' table 'rows_by_source.*'
 mechanism R22 $core/flow_target.c 's/heartbeat->seq <= FIRST_HEARTBEAT_SEQ;/1;/' flow 'Sizes/Lost.FlowsOfRunning*:Seeds/FlowSeeds.SurviveARestart*'
 mechanism R23 $core/flow_lookup.c 's/^			send_inquiry(call, batch, me, \&view->recently_dead\[i\],/			(void)(/' flow 'Sizes/Lost.FlowsAreReset*:Flows.AreNotResetInDoubt'
 mechanism R24 $core/flow_lookup.c 's/^			flw_forward(\&trial, to, FLW_MODE_TRIAL);/			;/' flow 'Sizes/Lost.FlowsOfRunning*'
@@ -114,5 +114,11 @@
 mechanism R37 $core/flow_lookup.c 's/^		    !bit_is_set(batch->lookups\[i\].not_held, at))/		    1)/' flow 'Sizes/Lost.FlowsInDoubt*'
 mechanism R35 $core/flow_target.c 's/return flw->target.port_closed ||/return 0 ||/' flow 'Sizes/Lost.FlowsOfATargetWhosePort*'
 mechanism R36 $core/flow_place.c 's/return any_fresh || limit != COST_NONE ? best : choose_by_rank(work);/return best;/' flow 'Opening.IsForwardedByAHome*'
+mechanism R40 $core/table_source.c 's/return (era + 1) << TBL_ERA_SHIFT/return (uint64_t)1 << TBL_ERA_SHIFT/' restore 'restored_store.AnEvacuation*'
+mechanism R41 $core/table_source.c 's/^	if (version < held) {/	if (0) {/' restore 'restored_store.TheOlderCopy*'
+mechanism R42 $core/table_merge.c 's/^	if (row->version != held->version)/	if (0)/' restore 'Restored.*'
+mechanism R43 $core/table_merge.c 's/^	if (is_new && row->version < source_version) {/	if (0) {/' restore 'restored_store.AProcess*'
+mechanism R44 $core/table_merge.c 's/^		tbl_hold_row(tbl, held, hold);/		;/' restore 'restored_store.AProcess*'
+mechanism R45 $core/table_source.c 's/^		if (!hold || !may_be_lost(row, revision)) {/		if (1) {/' restore 'restored_store.TheOlderCopy*'
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
--- /dev/null
+++ b/src/core/table_internal.h
@@ -0,0 +1,36 @@
+/*
+ * table_internal - functions shared by the source files of table
+ *
+ * table.c         rows, checks, operators' changes
+ * table_merge.c   exchange of tables between processes
+ * table_source.c  rows that come from an external store, see table.h
+ */
+#ifndef TABLE_INTERNAL_H
+#define TABLE_INTERNAL_H
+
+#include "jujube/table.h"
+
+/* -- table.c -- */
+/* Null: no such row. */
+struct tbl_row *tbl_find_row(const struct tbl *tbl, Jj__Kind kind,
+			     const char *name);
+/* Finds the row, or adds it with defaults; null: the table is full. */
+struct tbl_row *tbl_find_or_add_row(struct tbl *tbl, Jj__Kind kind,
+				    const char *name);
+
+/* -- table_merge.c -- */
+/* Inserts a change, sorted by revision; drops the oldest one when full. */
+void tbl_store_change(struct tbl *tbl, const struct tbl_change *change);
+
+/* -- table_source.c -- */
+int tbl_is_from(const struct tbl_row *row, const char *source);
+/* Highest version of the rows of a source, removed ones included. */
+uint64_t tbl_held_version(const struct tbl *tbl, const char *source);
+/*
+ * Revision for rows that a restored store has lost: above the table's, so that
+ * peers which have read the store since pull them.
+ */
+uint64_t tbl_hold_revision(const struct tbl *tbl, uint64_t store_revision);
+void tbl_hold_row(struct tbl *tbl, struct tbl_row *row, uint64_t revision);
+
+#endif
--- /dev/null
+++ b/src/core/table_merge.c
@@ -0,0 +1,258 @@
+/* Exchange of tables between processes. */
+#include "table_internal.h"
+
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* -- protobuf conversion ------------------------------------------------- */
+
+static void row_from_msg(struct tbl_row *row, const Jj__Row *msg)
+{
+	memset(row, 0, sizeof(*row));
+	row->kind = msg->kind;
+	snprintf(row->name, sizeof(row->name), "%s", msg->name);
+	snprintf(row->service, sizeof(row->service), "%s", msg->service);
+	snprintf(row->address, sizeof(row->address), "%s", msg->address);
+	row->weight = msg->weight;
+	row->slots = msg->slots;
+	row->max_flows = msg->max_flows;
+	row->cold_slots = msg->cold_slots;
+	row->cold_per_ks = msg->cold_per_ks;
+	row->flow_idle_ms = msg->flow_idle_ms;
+	row->target_latency_ms = msg->target_latency_ms;
+	row->state = msg->state;
+	row->revision = msg->revision;
+	row->version = msg->version;
+	snprintf(row->who, sizeof(row->who), "%s", msg->who);
+	row->when = msg->when;
+	snprintf(row->why, sizeof(row->why), "%s", msg->why);
+	snprintf(row->change_id, sizeof(row->change_id), "%s", msg->change_id);
+}
+
+static void row_to_msg(Jj__Row *msg, struct tbl_row *row)
+{
+	jj__row__init(msg);
+	msg->kind = row->kind;
+	msg->name = row->name;
+	msg->service = row->service;
+	msg->address = row->address;
+	msg->weight = row->weight;
+	msg->slots = row->slots;
+	msg->max_flows = row->max_flows;
+	msg->cold_slots = row->cold_slots;
+	msg->cold_per_ks = row->cold_per_ks;
+	msg->flow_idle_ms = row->flow_idle_ms;
+	msg->target_latency_ms = row->target_latency_ms;
+	msg->state = row->state;
+	msg->revision = row->revision;
+	msg->version = row->version;
+	msg->who = row->who;
+	msg->when = row->when;
+	msg->why = row->why;
+	msg->change_id = row->change_id;
+}
+
+static void change_to_msg(Jj__Change *msg, struct tbl_change *change)
+{
+	jj__change__init(msg);
+	msg->id = change->id;
+	msg->revision = change->revision;
+	msg->who = change->who;
+	msg->when = change->when;
+	msg->why = change->why;
+	msg->what = change->what;
+}
+
+uint8_t *tbl_pack(const struct tbl *tbl, uint64_t since, size_t *len)
+{
+	Jj__Table msg = JJ__TABLE__INIT;
+	Jj__Row *rows = calloc(tbl->count + 1, sizeof(*rows));
+	Jj__Row **row_list = calloc(tbl->count + 1, sizeof(*row_list));
+	Jj__Change changes[TBL_CHANGES_MAX];
+	Jj__Change *change_list[TBL_CHANGES_MAX];
+	uint8_t *buf = NULL;
+	uint32_t i;
+
+	if (!rows || !row_list)
+		goto out;
+	msg.revision = tbl->revision;
+	msg.rows = row_list;
+	msg.changes = change_list;
+	for (i = 0; i < tbl->count; i++) {
+		if (tbl->rows[i].revision <= since)
+			continue;
+		row_to_msg(&rows[i], &tbl->rows[i]);
+		row_list[msg.n_rows++] = &rows[i];
+	}
+	for (i = 0; i < tbl->change_count; i++) {
+		struct tbl_change *change =
+			(struct tbl_change *)&tbl->changes[i];
+
+		if (change->revision <= since)
+			continue;
+		change_to_msg(&changes[i], change);
+		change_list[msg.n_changes++] = &changes[i];
+	}
+	*len = jj__table__get_packed_size(&msg);
+	buf = malloc(*len + 1);
+	if (buf)
+		jj__table__pack(&msg, buf);
+out:
+	free(rows);
+	free(row_list);
+	return buf;
+}
+
+/* -- merging ------------------------------------------------------------- */
+
+void tbl_store_change(struct tbl *tbl, const struct tbl_change *change)
+{
+	uint32_t at = tbl->change_count;
+
+	if (tbl_find_change(tbl, change->id))
+		return;
+	if (at == TBL_CHANGES_MAX) {
+		if (change->revision < tbl->changes[0].revision)
+			return;
+		memmove(&tbl->changes[0], &tbl->changes[1],
+			(TBL_CHANGES_MAX - 1) * sizeof(tbl->changes[0]));
+		at--;
+	} else {
+		tbl->change_count++;
+	}
+	while (at > 0 && tbl->changes[at - 1].revision > change->revision) {
+		tbl->changes[at] = tbl->changes[at - 1];
+		at--;
+	}
+	tbl->changes[at] = *change;
+}
+
+static void merge_changes(struct tbl *tbl, const Jj__Table *msg)
+{
+	size_t i;
+
+	for (i = 0; i < msg->n_changes; i++) {
+		const Jj__Change *from = msg->changes[i];
+		struct tbl_change change = { .revision = from->revision,
+					     .when = from->when };
+
+		snprintf(change.id, sizeof(change.id), "%s", from->id);
+		snprintf(change.who, sizeof(change.who), "%s", from->who);
+		snprintf(change.why, sizeof(change.why), "%s", from->why);
+		snprintf(change.what, sizeof(change.what), "%s", from->what);
+		tbl_store_change(tbl, &change);
+	}
+}
+
+/*
+ * Rows of diverged histories can have equal revisions. Any fixed order will do
+ * then; comparing the change ids gives one.
+ */
+static int supersedes(const struct tbl_row *row, const struct tbl_row *held)
+{
+	if (row->version != held->version)
+		return row->version > held->version;
+	if (row->revision != held->revision)
+		return row->revision > held->revision;
+	return strcmp(row->change_id, held->change_id) > 0;
+}
+
+/*
+ * Checks all rows of a message. source_versions[i] becomes the version that
+ * the table has of the source of row i.
+ */
+static enum jj_status check_message(const struct tbl *tbl, const Jj__Table *msg,
+				    uint64_t *source_versions,
+				    struct jj_error *err)
+{
+	uint32_t new_rows = 0;
+	struct tbl_row row;
+	size_t i;
+
+	for (i = 0; i < msg->n_rows; i++) {
+		row_from_msg(&row, msg->rows[i]);
+		if (tbl_check_row(&row, err) != JJ_OK)
+			return JJ_INVALID;
+		if (row.revision > msg->revision)
+			return st_fail(err, JJ_INVALID,
+				       "%s: row revision %s is higher than "
+				       "the table's",
+				       row.name,
+				       tbl_format_revision(row.revision).text);
+		if (!tbl_find_row(tbl, row.kind, row.name))
+			new_rows++;
+		if (!row.version)
+			continue;
+		/* Most rows have the same source as the one before. */
+		if (i && !strcmp(msg->rows[i]->change_id,
+				 msg->rows[i - 1]->change_id))
+			source_versions[i] = source_versions[i - 1];
+		else
+			source_versions[i] =
+				tbl_held_version(tbl, row.change_id);
+	}
+	if (tbl->count + new_rows > tbl->capacity)
+		return st_fail(err, JJ_FULL, "table would exceed %u rows",
+			       tbl->capacity);
+	return JJ_OK;
+}
+
+/*
+ * Merges a row; hold is the revision for rows that the sender must learn of. A
+ * new row of an older version than the table has of its source was removed
+ * since, although the table holds no tombstone of it.
+ */
+static void merge_row(struct tbl *tbl, struct tbl_row *row,
+		      uint64_t source_version, uint64_t hold)
+{
+	int is_new = !tbl_find_row(tbl, row->kind, row->name);
+	struct tbl_row *held = tbl_find_or_add_row(tbl, row->kind, row->name);
+
+	assert(held);
+	if (is_new && row->version < source_version) {
+		*held = *row;
+		held->state = JJ__ROW_STATE__STATE_REMOVED;
+		held->version = source_version;
+		tbl_hold_row(tbl, held, hold);
+	} else if (supersedes(row, held)) {
+		*held = *row;
+	} else if (row->revision > held->revision) {
+		tbl_hold_row(tbl, held, hold);
+	}
+}
+
+enum jj_status tbl_merge(struct tbl *tbl, const Jj__Table *msg,
+			 struct jj_error *err)
+{
+	int stale = msg->revision < tbl->revision;
+	uint64_t *source_versions =
+		calloc(msg->n_rows + 1, sizeof(*source_versions));
+	enum jj_status status;
+	uint64_t hold;
+	size_t i;
+
+	if (!source_versions)
+		return st_fail(err, JJ_SYSTEM, "out of memory");
+	status = check_message(tbl, msg, source_versions, err);
+	if (status != JJ_OK) {
+		free(source_versions);
+		return status;
+	}
+	hold = tbl_hold_revision(tbl, msg->revision);
+	tbl_raise_revision(tbl, msg->revision);
+	for (i = 0; i < msg->n_rows; i++) {
+		struct tbl_row row;
+
+		row_from_msg(&row, msg->rows[i]);
+		merge_row(tbl, &row, source_versions[i], hold);
+	}
+	free(source_versions);
+	merge_changes(tbl, msg);
+	if (stale)
+		return st_fail(err, JJ_STALE,
+			       "older than the current revision %s",
+			       tbl_format_revision(tbl->revision).text);
+	return JJ_OK;
+}
--- /dev/null
+++ b/src/core/table_source.c
@@ -0,0 +1,260 @@
+/* Rows that come from an external store. */
+#include "table_internal.h"
+
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * Layout of a revision of an external store, from the highest bit: the store's
+ * era plus 1 (16 bits), its revision (40 bits), and a count of holds (8 bits)
+ * that places a held row between two revisions of the store. In revisions of
+ * the fleet's own table the era is 0.
+ */
+#define TBL_ERA_SHIFT 48
+#define TBL_STORE_REVISION_SHIFT 8
+#define TBL_BELOW_ERA_MASK (((uint64_t)1 << TBL_ERA_SHIFT) - 1)
+#define TBL_HOLD_MASK (((uint64_t)1 << TBL_STORE_REVISION_SHIFT) - 1)
+
+int tbl_is_from(const struct tbl_row *row, const char *source)
+{
+	return !strncmp(row->change_id, source, sizeof(row->change_id) - 1);
+}
+
+uint64_t tbl_held_version(const struct tbl *tbl, const char *source)
+{
+	uint64_t version = 0;
+	uint32_t i;
+
+	assert(tbl->rows || !tbl->count);
+	for (i = 0; i < tbl->count; i++)
+		if (tbl_is_from(&tbl->rows[i], source) &&
+		    tbl->rows[i].version > version)
+			version = tbl->rows[i].version;
+	return version;
+}
+
+uint64_t tbl_hold_revision(const struct tbl *tbl, uint64_t store_revision)
+{
+	return (tbl->revision > store_revision ? tbl->revision :
+						 store_revision) +
+	       1;
+}
+
+void tbl_hold_row(struct tbl *tbl, struct tbl_row *row, uint64_t revision)
+{
+	row->revision = revision;
+	tbl_raise_revision(tbl, revision);
+}
+
+/* -- rows of external sources -------------------------------------------- */
+
+/* Compares everything but revision and audit fields. */
+static int has_same_content(const struct tbl_row *a, const struct tbl_row *b)
+{
+	return !strcmp(a->service, b->service) &&
+	       !strcmp(a->address, b->address) && a->weight == b->weight &&
+	       a->slots == b->slots && a->max_flows == b->max_flows &&
+	       a->cold_slots == b->cold_slots &&
+	       a->cold_per_ks == b->cold_per_ks &&
+	       a->flow_idle_ms == b->flow_idle_ms &&
+	       a->target_latency_ms == b->target_latency_ms &&
+	       a->state == b->state && !strcmp(a->change_id, b->change_id);
+}
+
+static enum jj_status check_rows(const struct tbl *tbl,
+				 const struct tbl_row *rows, uint32_t count,
+				 struct jj_error *err)
+{
+	uint32_t new_rows = 0;
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		if (tbl_check_row(&rows[i], err) != JJ_OK)
+			return JJ_INVALID;
+		new_rows += !tbl_find_row(tbl, rows[i].kind, rows[i].name);
+	}
+	if (tbl->count + new_rows > tbl->capacity)
+		return st_fail(err, JJ_FULL, "table would exceed %u rows",
+			       tbl->capacity);
+	return JJ_OK;
+}
+
+/* Replaces a row unless it is newer. A higher version needs no higher revision. */
+static void replace_row(struct tbl *tbl, struct tbl_row *held,
+			struct tbl_row *row, struct tbl_update *update)
+{
+	if (held->revision >= row->revision) {
+		if (row->version <= held->version) {
+			update->ignored++;
+			return;
+		}
+		row->revision = held->revision + 1;
+		tbl_raise_revision(tbl, row->revision);
+	}
+	*held = *row;
+	update->changed++;
+}
+
+/* Turns a row into a tombstone, unless it is newer. */
+static void remove_row(struct tbl *tbl, struct tbl_row *held, uint64_t version,
+		       uint64_t revision, struct tbl_update *update)
+{
+	struct tbl_row row = *held;
+
+	if (held->state == JJ__ROW_STATE__STATE_REMOVED)
+		return;
+	row.state = JJ__ROW_STATE__STATE_REMOVED;
+	row.version = version;
+	row.revision = revision;
+	replace_row(tbl, held, &row, update);
+}
+
+/* Holds the rows that changed after the outdated source was written. */
+static void hold_newer_rows(struct tbl *tbl, const struct tbl_source *source,
+			    struct tbl_update *update)
+{
+	uint64_t hold = tbl_hold_revision(tbl, source->revision);
+	uint32_t i;
+
+	for (i = 0; i < tbl->count; i++) {
+		struct tbl_row *row = &tbl->rows[i];
+
+		if (!tbl_is_from(row, source->name) ||
+		    row->version <= source->version)
+			continue;
+		update->ignored++;
+		if (row->revision >= source->revision)
+			continue;
+		tbl_hold_row(tbl, row, hold);
+		update->held++;
+	}
+}
+
+enum jj_status tbl_replace_source(struct tbl *tbl,
+				  const struct tbl_source *source,
+				  struct tbl_update *update,
+				  struct jj_error *err)
+{
+	enum jj_status status =
+		check_rows(tbl, source->rows, source->count, err);
+	uint64_t held = tbl_held_version(tbl, source->name);
+	int removed = !source->version && !source->count;
+	uint64_t version = removed ? held : source->version;
+	uint8_t *in_source;
+	uint32_t i;
+
+	*update = (struct tbl_update){ 0 };
+	if (status != JJ_OK)
+		return status;
+	if (version < held) {
+		hold_newer_rows(tbl, source, update);
+		return JJ_OK;
+	}
+	in_source = calloc(tbl->capacity, 1);
+	if (!in_source)
+		return st_fail(err, JJ_SYSTEM, "out of memory");
+	for (i = 0; i < source->count; i++) {
+		struct tbl_row row = source->rows[i];
+		struct tbl_row *at =
+			tbl_find_or_add_row(tbl, row.kind, row.name);
+
+		assert(at);
+		in_source[at - tbl->rows] = 1;
+		snprintf(row.change_id, sizeof(row.change_id), "%s",
+			 source->name);
+		row.version = version;
+		row.revision = source->revision;
+		if (!has_same_content(&row, at))
+			replace_row(tbl, at, &row, update);
+	}
+	for (i = 0; i < tbl->count; i++)
+		if (!in_source[i] && tbl_is_from(&tbl->rows[i], source->name))
+			remove_row(tbl, &tbl->rows[i], version,
+				   source->revision, update);
+	free(in_source);
+	return JJ_OK;
+}
+
+/*
+ * Whether a row that is missing from a list of the store as of revision may
+ * have been lost by a restore: it is from an earlier era, or already held.
+ */
+static int may_be_lost(const struct tbl_row *row, uint64_t revision)
+{
+	return row->revision >> TBL_ERA_SHIFT < revision >> TBL_ERA_SHIFT ||
+	       row->revision & TBL_HOLD_MASK;
+}
+
+/* Removes a row that is missing from a list of the store as of revision. */
+static void remove_missing_row(struct tbl *tbl, struct tbl_row *row,
+			       uint64_t revision, struct tbl_update *update)
+{
+	uint64_t without_hold = row->revision & ~TBL_HOLD_MASK;
+
+	if (without_hold < row->revision && without_hold <= revision) {
+		revision = tbl_hold_revision(tbl, revision);
+		tbl_raise_revision(tbl, revision);
+	}
+	remove_row(tbl, row, row->version, revision, update);
+}
+
+void tbl_retain_sources(struct tbl *tbl, const char *const *sources,
+			uint32_t count, uint64_t revision, int hold,
+			struct tbl_update *update)
+{
+	uint64_t held_at = tbl_hold_revision(tbl, revision);
+	uint32_t i;
+
+	*update = (struct tbl_update){ 0 };
+	for (i = 0; i < tbl->count; i++) {
+		struct tbl_row *row = &tbl->rows[i];
+		uint32_t j = 0;
+
+		while (j < count && !tbl_is_from(row, sources[j]))
+			j++;
+		if (j < count || row->state == JJ__ROW_STATE__STATE_REMOVED)
+			continue;
+		if (!hold || !may_be_lost(row, revision)) {
+			remove_missing_row(tbl, row, revision, update);
+			continue;
+		}
+		update->held++;
+		if (!(row->revision & TBL_HOLD_MASK))
+			tbl_hold_row(tbl, row, held_at);
+	}
+}
+
+/* -- revisions of an external store -------------------------------------- */
+
+uint64_t tbl_compose_revision(uint64_t era, uint64_t store_revision)
+{
+	return (era + 1) << TBL_ERA_SHIFT | store_revision
+						    << TBL_STORE_REVISION_SHIFT;
+}
+
+struct tbl_revision_text tbl_format_revision(uint64_t revision)
+{
+	uint64_t era = revision >> TBL_ERA_SHIFT;
+	uint64_t store_revision =
+		(revision & TBL_BELOW_ERA_MASK) >> TBL_STORE_REVISION_SHIFT;
+	unsigned hold = (unsigned)(revision & TBL_HOLD_MASK);
+	struct tbl_revision_text out;
+
+	if (!era)
+		snprintf(out.text, sizeof(out.text), "%llu",
+			 (unsigned long long)revision);
+	else
+		snprintf(out.text, sizeof(out.text), "%llu.%llu%s",
+			 (unsigned long long)(era - 1),
+			 (unsigned long long)store_revision,
+			 hold ? "-held" : "");
+	return out;
+}
+
+void tbl_raise_revision(struct tbl *tbl, uint64_t revision)
+{
+	if (revision > tbl->revision)
+		tbl->revision = revision;
+}
--- a/tests/restore_test.cc
+++ b/tests/restore_test.cc
@@ -225,6 +225,16 @@
 	EXPECT_EQ(b.services(), (config{ { "desk", 3 } }));
 }
 
+/* It has no version, so that only the era tells it from what was lost. */
+TEST_F(restored_store, AnEvacuationAtAReissuedRevisionReachesPeers)
+{
+	store.evacuate("z1");
+	a.list(store, 1);
+	b.pull(a);
+	EXPECT_EQ(a.evacuated(), (std::set<std::string>{ "z0", "z1" }));
+	EXPECT_EQ(b.evacuated(), (std::set<std::string>{ "z0", "z1" }));
+}
+
 TEST_F(restored_store, TheOlderCopyReplacesNothing)
 {
 	a.list(store, 1);
