Compare the digest of operators' items when tables are exchanged

Callers could be served by a route that a confirmed change had removed or changed: a process that reads the store after others have (it was started, or its call was delayed) may not have seen a version in between. It cannot tell its peers which rows that version added or changed, but announces the newest revision; a peer that pulled the rows changed since its own revision kept a removed row, or a changed one that had been changed back, until it read the store itself, up to 10 s later. Found by the property test of restored stores; the cause is older than restores.

A table now names each source that has a version, with a digest of its rows. If the merged rows would not give the same digest, nothing is merged and the complete table is requested (JJ328); its sources replace those that are not newer. A source costs some 25 bytes in each exchange of tables.

--- a/gen/jujube.pb-c.c
+++ b/gen/jujube.pb-c.c
@@ -142,6 +142,51 @@
   assert(message->base.descriptor == &jj__change__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   jj__source__init
+                     (Jj__Source         *message)
+{
+  static const Jj__Source init_value = JJ__SOURCE__INIT;
+  *message = init_value;
+}
+size_t jj__source__get_packed_size
+                     (const Jj__Source *message)
+{
+  assert(message->base.descriptor == &jj__source__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jj__source__pack
+                     (const Jj__Source *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jj__source__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jj__source__pack_to_buffer
+                     (const Jj__Source *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jj__source__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jj__Source *
+       jj__source__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jj__Source *)
+     protobuf_c_message_unpack (&jj__source__descriptor,
+                                allocator, len, data);
+}
+void   jj__source__free_unpacked
+                     (Jj__Source *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jj__source__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   jj__table__init
                      (Jj__Table         *message)
 {
@@ -1823,7 +1868,71 @@
   (ProtobufCMessageInit) jj__change__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jj__table__field_descriptors[3] =
+static const ProtobufCFieldDescriptor jj__source__field_descriptors[3] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jj__Source, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Jj__Source, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digest",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Jj__Source, digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jj__source__field_indices_by_name[] = {
+  2,   /* field[2] = digest */
+  0,   /* field[0] = name */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange jj__source__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor jj__source__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jj.Source",
+  "Source",
+  "Jj__Source",
+  "jj",
+  sizeof(Jj__Source),
+  3,
+  jj__source__field_descriptors,
+  jj__source__field_indices_by_name,
+  1,  jj__source__number_ranges,
+  (ProtobufCMessageInit) jj__source__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jj__table__field_descriptors[5] =
 {
   {
     "revision",
@@ -1861,16 +1970,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sources",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jj__Table, n_sources),
+    offsetof(Jj__Table, sources),
+    &jj__source__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "complete",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Jj__Table, complete),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jj__table__field_indices_by_name[] = {
   2,   /* field[2] = changes */
+  4,   /* field[4] = complete */
   0,   /* field[0] = revision */
   1,   /* field[1] = rows */
+  3,   /* field[3] = sources */
 };
 static const ProtobufCIntRange jj__table__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor jj__table__descriptor =
 {
@@ -1880,7 +2015,7 @@
   "Jj__Table",
   "jj",
   sizeof(Jj__Table),
-  3,
+  5,
   jj__table__field_descriptors,
   jj__table__field_indices_by_name,
   1,  jj__table__number_ranges,
--- a/gen/jujube.pb-c.h
+++ b/gen/jujube.pb-c.h
@@ -18,6 +18,7 @@
 typedef struct Jj__Member Jj__Member;
 typedef struct Jj__Row Jj__Row;
 typedef struct Jj__Change Jj__Change;
+typedef struct Jj__Source Jj__Source;
 typedef struct Jj__Table Jj__Table;
 typedef struct Jj__Ping Jj__Ping;
 typedef struct Jj__Ack Jj__Ack;
@@ -230,6 +231,27 @@
     , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
+/*
+ * An item of an external store from which the sender's table has rows.
+ */
+struct  Jj__Source
+{
+  ProtobufCMessage base;
+  char *name;
+  /*
+   * of its newest row
+   */
+  uint64_t version;
+  /*
+   * of its rows that are not removed
+   */
+  uint64_t digest;
+};
+#define JJ__SOURCE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jj__source__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
 struct  Jj__Table
 {
   ProtobufCMessage base;
@@ -238,10 +260,19 @@
   Jj__Row **rows;
   size_t n_changes;
   Jj__Change **changes;
+  /*
+   * those with a version
+   */
+  size_t n_sources;
+  Jj__Source **sources;
+  /*
+   * contains all rows, not only the newer ones
+   */
+  protobuf_c_boolean complete;
 };
 #define JJ__TABLE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jj__table__descriptor) \
-    , 0, 0,NULL, 0,NULL }
+    , 0, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 /*
@@ -846,6 +877,25 @@
 void   jj__change__free_unpacked
                      (Jj__Change *message,
                       ProtobufCAllocator *allocator);
+/* Jj__Source methods */
+void   jj__source__init
+                     (Jj__Source         *message);
+size_t jj__source__get_packed_size
+                     (const Jj__Source   *message);
+size_t jj__source__pack
+                     (const Jj__Source   *message,
+                      uint8_t             *out);
+size_t jj__source__pack_to_buffer
+                     (const Jj__Source   *message,
+                      ProtobufCBuffer     *buffer);
+Jj__Source *
+       jj__source__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jj__source__free_unpacked
+                     (Jj__Source *message,
+                      ProtobufCAllocator *allocator);
 /* Jj__Table methods */
 void   jj__table__init
                      (Jj__Table         *message);
@@ -1332,6 +1382,9 @@
 typedef void (*Jj__Change_Closure)
                  (const Jj__Change *message,
                   void *closure_data);
+typedef void (*Jj__Source_Closure)
+                 (const Jj__Source *message,
+                  void *closure_data);
 typedef void (*Jj__Table_Closure)
                  (const Jj__Table *message,
                   void *closure_data);
@@ -1421,6 +1474,7 @@
 extern const ProtobufCMessageDescriptor jj__member__descriptor;
 extern const ProtobufCMessageDescriptor jj__row__descriptor;
 extern const ProtobufCMessageDescriptor jj__change__descriptor;
+extern const ProtobufCMessageDescriptor jj__source__descriptor;
 extern const ProtobufCMessageDescriptor jj__table__descriptor;
 extern const ProtobufCMessageDescriptor jj__ping__descriptor;
 extern const ProtobufCMessageDescriptor jj__ack__descriptor;
--- a/include/jujube/status.h
+++ b/include/jujube/status.h
@@ -23,6 +23,7 @@
 	JJ_STALE, /* older than the stored version */
 	JJ_UNAVAILABLE, /* the peer can't be reached */
 	JJ_UNSETTLED, /* the outcome isn't known yet */
+	JJ_INCOMPLETE, /* a difference to a state that isn't held */
 	JJ_SYSTEM, /* an operating system call failed */
 };
 
--- a/include/jujube/table.h
+++ b/include/jujube/table.h
@@ -130,6 +130,12 @@
  * that the revision of msg is lower than the table's. Individual rows that are
  * newer are still merged in this case, see edit.h on a platform that was
  * restored from a backup.
+ *
+ * JJ_INCOMPLETE: msg holds only rows newer than some revision, and the result
+ * would differ from the sender's table in a source whose version the table does
+ * not exceed. A sender that did not see each version of a source cannot tell
+ * which rows a version that it missed added or changed. Nothing is changed; the
+ * caller requests a complete table.
  */
 enum jj_status tbl_merge(struct tbl *tbl, const Jj__Table *msg,
 			 struct jj_error *err);
--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -120,5 +120,6 @@
 mechanism R43 $core/table_merge.c 's/^	if (is_new && row->version < source_version) {/	if (0) {/' restore 'restored_store.AProcess*'
 mechanism R44 $core/table_merge.c 's/^		tbl_hold_row(tbl, held, hold);/		;/' restore 'restored_store.AProcess*'
 mechanism R45 $core/table_source.c 's/^		if (!hold || !may_be_lost(row, revision)) {/		if (1) {/' restore 'restored_store.TheOlderCopy*'
+mechanism R46 $core/table_merge.c 's/^	if (status == JJ_OK \&\& !msg->complete/	if (0 \&\& !msg->complete/' restore 'Versions.*'
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
--- a/src/core/status.c
+++ b/src/core/status.c
@@ -20,9 +20,10 @@
 const char *st_name(enum jj_status status)
 {
 	static const char *const names[] = {
-		"ok",	    "invalid",	   "malformed", "unauthenticated",
-		"replayed", "full",	   "not found", "conflict",
-		"stale",    "unavailable", "unsettled", "system error",
+		"ok",		"invalid",     "malformed", "unauthenticated",
+		"replayed",	"full",	       "not found", "conflict",
+		"stale",	"unavailable", "unsettled", "incomplete",
+		"system error",
 	};
 
 	if ((size_t)status >= sizeof(names) / sizeof(names[0]))
--- a/src/core/table_internal.h
+++ b/src/core/table_internal.h
@@ -32,5 +32,9 @@
  */
 uint64_t tbl_hold_revision(const struct tbl *tbl, uint64_t store_revision);
 void tbl_hold_row(struct tbl *tbl, struct tbl_row *row, uint64_t revision);
+/* Digest of a row's content; 0 if it is removed. */
+uint64_t tbl_row_digest(const struct tbl_row *row);
+/* Combined digest of the rows of a source, whatever their order. */
+uint64_t tbl_source_digest(const struct tbl *tbl, const char *source);
 
 #endif
--- a/src/core/table_merge.c
+++ b/src/core/table_merge.c
@@ -6,6 +6,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Sources whose digest is sent; rows of further ones are merged unchecked. */
+#define TBL_SOURCES_MAX 16
+
 /* -- protobuf conversion ------------------------------------------------- */
 
 static void row_from_msg(struct tbl_row *row, const Jj__Row *msg)
@@ -65,6 +68,36 @@
 	msg->what = change->what;
 }
 
+/*
+ * Fills sources with those that have a version, TBL_SOURCES_MAX at most, and
+ * returns their number.
+ */
+static size_t list_sources(const struct tbl *tbl, Jj__Source *sources)
+{
+	size_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < tbl->count; i++) {
+		struct tbl_row *row = &tbl->rows[i];
+		size_t j = 0;
+
+		if (!row->version)
+			continue;
+		while (j < count && !tbl_is_from(row, sources[j].name))
+			j++;
+		if (j == TBL_SOURCES_MAX)
+			continue;
+		if (j == count) {
+			jj__source__init(&sources[count++]);
+			sources[j].name = row->change_id;
+		}
+		if (row->version > sources[j].version)
+			sources[j].version = row->version;
+		sources[j].digest ^= tbl_row_digest(row);
+	}
+	return count;
+}
+
 uint8_t *tbl_pack(const struct tbl *tbl, uint64_t since, size_t *len)
 {
 	Jj__Table msg = JJ__TABLE__INIT;
@@ -72,6 +105,8 @@
 	Jj__Row **row_list = calloc(tbl->count + 1, sizeof(*row_list));
 	Jj__Change changes[TBL_CHANGES_MAX];
 	Jj__Change *change_list[TBL_CHANGES_MAX];
+	Jj__Source sources[TBL_SOURCES_MAX];
+	Jj__Source *source_list[TBL_SOURCES_MAX];
 	uint8_t *buf = NULL;
 	uint32_t i;
 
@@ -95,6 +130,11 @@
 		change_to_msg(&changes[i], change);
 		change_list[msg.n_changes++] = &changes[i];
 	}
+	msg.complete = since == 0;
+	msg.sources = source_list;
+	msg.n_sources = list_sources(tbl, sources);
+	for (i = 0; i < msg.n_sources; i++)
+		source_list[i] = &sources[i];
 	*len = jj__table__get_packed_size(&msg);
 	buf = malloc(*len + 1);
 	if (buf)
@@ -223,6 +263,82 @@
 	}
 }
 
+/*
+ * Digest that a source would have after merge_row() of all rows of a message.
+ * A row is in a message once.
+ */
+static uint64_t merged_digest(const struct tbl *tbl, const Jj__Table *msg,
+			      const Jj__Source *source, uint64_t version)
+{
+	uint64_t digest = tbl_source_digest(tbl, source->name);
+	struct tbl_row row;
+	size_t i;
+
+	for (i = 0; i < msg->n_rows; i++) {
+		const struct tbl_row *held;
+
+		row_from_msg(&row, msg->rows[i]);
+		if (!tbl_is_from(&row, source->name))
+			continue;
+		held = tbl_find_row(tbl, row.kind, row.name);
+		if (held && supersedes(&row, held))
+			digest ^= tbl_row_digest(held) ^ tbl_row_digest(&row);
+		else if (!held && row.version >= version)
+			digest ^= tbl_row_digest(&row);
+	}
+	return digest;
+}
+
+/* Whether the table would agree with the sender in all sources not newer. */
+static int is_sufficient(const struct tbl *tbl, const Jj__Table *msg)
+{
+	size_t i;
+
+	for (i = 0; i < msg->n_sources; i++) {
+		const Jj__Source *source = msg->sources[i];
+		uint64_t version = tbl_held_version(tbl, source->name);
+
+		if (source->version >= version &&
+		    merged_digest(tbl, msg, source, version) != source->digest)
+			return 0;
+	}
+	return 1;
+}
+
+/* Replaces the rows of each source that is not newer than the sender's. */
+static enum jj_status replace_sources(struct tbl *tbl, const Jj__Table *msg,
+				      struct jj_error *err)
+{
+	struct tbl_row *rows = calloc(msg->n_rows + 1, sizeof(*rows));
+	enum jj_status status = JJ_OK;
+	size_t i;
+	size_t j;
+
+	if (!rows)
+		return st_fail(err, JJ_SYSTEM, "out of memory");
+	for (i = 0; i < msg->n_sources && status == JJ_OK; i++) {
+		struct tbl_update update;
+		struct tbl_source source = { .name = msg->sources[i]->name,
+					     .rows = rows,
+					     .version =
+						     msg->sources[i]->version,
+					     .revision = msg->revision };
+
+		for (j = 0; j < msg->n_rows; j++) {
+			struct tbl_row *row = &rows[source.count];
+
+			row_from_msg(row, msg->rows[j]);
+			if (row->state != JJ__ROW_STATE__STATE_REMOVED &&
+			    tbl_is_from(row, source.name))
+				source.count++;
+		}
+		if (source.version >= tbl_held_version(tbl, source.name))
+			status = tbl_replace_source(tbl, &source, &update, err);
+	}
+	free(rows);
+	return status;
+}
+
 enum jj_status tbl_merge(struct tbl *tbl, const Jj__Table *msg,
 			 struct jj_error *err)
 {
@@ -236,6 +352,10 @@
 	if (!source_versions)
 		return st_fail(err, JJ_SYSTEM, "out of memory");
 	status = check_message(tbl, msg, source_versions, err);
+	if (status == JJ_OK && !msg->complete && !is_sufficient(tbl, msg))
+		status = st_fail(err, JJ_INCOMPLETE,
+				 "the rows that changed do not give the "
+				 "sender's table");
 	if (status != JJ_OK) {
 		free(source_versions);
 		return status;
@@ -249,10 +369,12 @@
 		merge_row(tbl, &row, source_versions[i], hold);
 	}
 	free(source_versions);
+	if (msg->complete)
+		status = replace_sources(tbl, msg, err);
 	merge_changes(tbl, msg);
 	if (stale)
 		return st_fail(err, JJ_STALE,
 			       "older than the current revision %s",
 			       tbl_format_revision(tbl->revision).text);
-	return JJ_OK;
+	return status;
 }
--- a/src/core/table_source.c
+++ b/src/core/table_source.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include "jujube/rank.h"
 
 /*
  * Layout of a revision of an external store, from the highest bit: the store's
@@ -48,6 +49,56 @@
 	tbl_raise_revision(tbl, revision);
 }
 
+/* The fields of a row that has_same_content() compares, and its name. */
+struct row_content {
+	char name[TBL_NAME_MAX];
+	char service[TBL_NAME_MAX];
+	char address[32];
+	uint32_t kind;
+	uint32_t weight;
+	uint32_t slots;
+	uint32_t max_flows;
+	uint32_t cold_slots;
+	uint32_t cold_per_ks;
+	uint32_t flow_idle_ms;
+	uint32_t target_latency_ms;
+	uint32_t state;
+};
+
+uint64_t tbl_row_digest(const struct tbl_row *row)
+{
+	struct row_content content = {
+		.kind = (uint32_t)row->kind,
+		.weight = row->weight,
+		.slots = row->slots,
+		.max_flows = row->max_flows,
+		.cold_slots = row->cold_slots,
+		.cold_per_ks = row->cold_per_ks,
+		.flow_idle_ms = row->flow_idle_ms,
+		.target_latency_ms = row->target_latency_ms,
+		.state = (uint32_t)row->state,
+	};
+
+	if (row->state == JJ__ROW_STATE__STATE_REMOVED)
+		return 0;
+	/* All bytes after the strings stay zero. */
+	snprintf(content.name, sizeof(content.name), "%s", row->name);
+	snprintf(content.service, sizeof(content.service), "%s", row->service);
+	snprintf(content.address, sizeof(content.address), "%s", row->address);
+	return rnk_hash(&content, sizeof(content));
+}
+
+uint64_t tbl_source_digest(const struct tbl *tbl, const char *source)
+{
+	uint64_t digest = 0;
+	uint32_t i;
+
+	for (i = 0; i < tbl->count; i++)
+		if (tbl_is_from(&tbl->rows[i], source))
+			digest ^= tbl_row_digest(&tbl->rows[i]);
+	return digest;
+}
+
 /* -- rows of external sources -------------------------------------------- */
 
 /* Compares everything but revision and audit fields. */
--- a/src/io/node_transfer.c
+++ b/src/io/node_transfer.c
@@ -53,16 +53,18 @@
 	return reply;
 }
 
-static int pull_from(struct nod *nod, struct nod_lane *lane, uint32_t ip,
-		     uint16_t port, int members)
+/* Requests and merges the rows newer than since; JJ_UNAVAILABLE: no reply. */
+static enum jj_status pull_since(struct nod *nod, struct nod_lane *lane,
+				 uint32_t ip, uint16_t port, uint64_t since,
+				 int members)
 {
 	Jj__Envelope env = JJ__ENVELOPE__INIT;
 	Jj__Pull pull = JJ__PULL__INIT;
+	enum jj_status status = JJ_UNAVAILABLE;
 	Jj__Envelope *reply;
 	struct jj_error err;
-	int done = 0;
 
-	pull.since = nod->revision;
+	pull.since = since;
 	pull.rows = 1;
 	pull.members = members;
 	env.body_case = JJ__ENVELOPE__BODY_PULL;
@@ -70,22 +72,38 @@
 	met_add(&nod->met, MET_PULLS, 1);
 	reply = nod_request(nod, lane, ip, port, &env, TRANSFER_TIMEOUT_MS);
 	if (!reply)
-		return 0;
+		return status;
 	if (reply->body_case == JJ__ENVELOPE__BODY_STATE) {
+		status = JJ_OK;
 		pthread_mutex_lock(&nod->lock);
 		mbr_merge(&nod->mbr, net_now_ms(), reply->state->members,
 			  reply->state->n_members);
-		if (reply->state->table &&
-		    nod_merge_table_locked(nod, reply->state->table, &err) ==
-			    JJ_INVALID)
-			log_put(&nod->desc.log->sink, EV_TABLE_INVALID,
-				"from=%s reason=%s",
-				net_format_address(ip, port), err.message);
+		if (reply->state->table)
+			status = nod_merge_table_locked(
+				nod, reply->state->table, &err);
 		pthread_mutex_unlock(&nod->lock);
-		done = 1;
 	}
+	if (status == JJ_INVALID || status == JJ_INCOMPLETE)
+		log_put(&nod->desc.log->sink,
+			status == JJ_INVALID ? EV_TABLE_INVALID :
+					       EV_TABLE_INCOMPLETE,
+			"from=%s since=%s reason=%s",
+			net_format_address(ip, port),
+			tbl_format_revision(since).text, err.message);
 	jj__envelope__free_unpacked(reply, NULL);
-	return done;
+	return status;
+}
+
+/* Returns 0 if the process did not reply. */
+static int pull_from(struct nod *nod, struct nod_lane *lane, uint32_t ip,
+		     uint16_t port, int members)
+{
+	enum jj_status status =
+		pull_since(nod, lane, ip, port, nod->revision, members);
+
+	if (status == JJ_INCOMPLETE)
+		status = pull_since(nod, lane, ip, port, 0, 0);
+	return status != JJ_UNAVAILABLE;
 }
 
 /* Fetches table and member list from the first seed that answers. */
--- a/tests/restore_test.cc
+++ b/tests/restore_test.cc
@@ -157,21 +157,28 @@
 			tbl_raise_revision(
 				&tbl, tbl_compose_revision(store.era, newest));
 	}
-	/* As processes do: only a peer with a higher revision is asked. */
-	void pull(const replica &peer)
+	jj_status merge(const replica &peer, uint64_t since)
 	{
 		size_t len = 0;
-		uint8_t *packed;
-		Jj__Table *msg;
+		uint8_t *packed = tbl_pack(&peer.tbl, since, &len);
+		Jj__Table *msg = jj__table__unpack(NULL, len, packed);
 		jj_error err;
+		jj_status status = tbl_merge(&tbl, msg, &err);
 
-		if (peer.tbl.revision <= tbl.revision)
-			return;
-		packed = tbl_pack(&peer.tbl, tbl.revision, &len);
-		msg = jj__table__unpack(NULL, len, packed);
-		EXPECT_EQ(tbl_merge(&tbl, msg, &err), JJ_OK) << err.message;
 		jj__table__free_unpacked(msg, NULL);
 		free(packed);
+		return status;
+	}
+	/* As processes do: only a peer with a higher revision is asked. */
+	void pull(const replica &peer)
+	{
+		jj_status status = JJ_OK;
+
+		if (peer.tbl.revision > tbl.revision)
+			status = merge(peer, tbl.revision);
+		if (status == JJ_INCOMPLETE)
+			status = merge(peer, 0);
+		EXPECT_EQ(status, JJ_OK);
 	}
 	config services() const
 	{
@@ -306,6 +313,27 @@
 		  tbl_compose_revision(store.era, store.now.revision) + 2);
 }
 
+/*
+ * A table that has read versions 4 and 8 cannot tell its peers what version 6
+ * had changed.
+ */
+TEST(Versions, AMissedOneLeavesNoRowBehindAtPeers)
+{
+	operators_store store;
+	replica reader;
+	replica peer;
+
+	store.set_config({ { "desk", 1 }, { "vault", 1 } });
+	reader.list(store, 0);
+	peer.pull(reader);
+	store.set_config({ { "desk", 2 }, { "vault", 1 }, { "attic", 1 } });
+	peer.list(store, 0);
+	store.set_config({ { "desk", 1 }, { "vault", 2 } });
+	reader.list(store, 0);
+	peer.pull(reader);
+	EXPECT_EQ(peer.services(), store.services);
+}
+
 /*
  * One of the tables reads the store, the others pull. Whatever operators write
  * and the store forgets: once operators have written again, all agree with
@@ -320,7 +348,7 @@
 
 	for (int i = 0; i < 4; i++)
 		all.push_back(std::make_unique<replica>());
-	store.set_config({ { "desk", 0 }, { "vault", 0 } });
+	store.set_config({ { "desk", 0 } });
 	store.copy = store.now;
 	for (auto &step : steps) {
 		replica &one = *all[step.second % 4];
@@ -330,12 +358,13 @@
 		case 0:
 		case 1:
 			/*
-			 * The limit of desk is the version. Each version
-			 * changes all rows.
+			 * The limit of desk is the version. Versions add,
+			 * change, change back and remove a second row.
 			 */
 			store.set_config(
 				{ { "desk", (uint32_t)store.version + 2 },
-				  { "vault", (uint32_t)store.version } });
+				  { "s" + std::to_string(step.second % 3),
+				    step.second / 3u % 3 } });
 			break;
 		case 2:
 			store.evacuate(zone);
@@ -373,8 +402,7 @@
 		}
 	}
 	store.write_again();
-	store.set_config({ { "desk", (uint32_t)store.version + 2 },
-			   { "vault", (uint32_t)store.version } });
+	store.set_config({ { "desk", (uint32_t)store.version + 2 } });
 	all[0]->list(store, 0);
 	for (int round = 0; round < 8; round++)
 		for (auto &to : all)
