Write back changes that a restored platform gave the revisions of again

The fleet's own table, on the Consul KV interface: after the platform was restored from a backup, a process that knows only the backup (it was started since, and has not reached its peers) can accept changes whose revisions had been given out before. If it accepted as many as were lost, or more, no process saw an older table: changes that operators had been told were accepted stayed on some processes and were gone from the platform, the others and every later start.

One revision number stood for the content of the whole table. A platform's table now counts as up to date only if it also has each row of the process's table, not in an older version; otherwise the merged table is written back above both revisions.

Evidence: Edit.RevisionsGivenOutAgainLoseNoAcceptedChange fails before with two changes lost and two accepted (action DONE, expected SWAP) and passes now with one, two and three; Edit.ANewerPlatformIsNotWrittenBack passes before and after. process_platform_restored, process_platform_outage, process_lost_replies, process_two_operators pass. Not seen on a running fleet.

--- a/include/jujube/edit.h
+++ b/include/jujube/edit.h
@@ -18,8 +18,8 @@
  *  - EDT_CONFLICT and EDT_REFUSED are thus only reported when no swap of the
  *    change can take effect any more.
  *
- * If the platform has an older table than this process (it was restored from a
- * backup), the same swap writes the missing rows back.
+ * If the platform's table lacks rows of this process's, or has them in an older
+ * version (it was restored from a backup), the same swap writes them back.
  */
 #ifndef JUJUBE_EDIT_H
 #define JUJUBE_EDIT_H
--- a/include/jujube/table.h
+++ b/include/jujube/table.h
@@ -140,6 +140,9 @@
 enum jj_status tbl_merge(struct tbl *tbl, const Jj__Table *msg,
 			 struct jj_error *err);
 
+/* Whether the table has a row that msg lacks, or has in an older version. */
+int tbl_exceeds(const struct tbl *tbl, const Jj__Table *msg);
+
 /*
  * Applies a change as revision tbl->revision + 1. Returns JJ_CONFLICT if a
  * row's revision differs from its base_revision (the error message shows both
--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -75,6 +75,7 @@
 mechanism 10 $core/edit.c 's/index > edt->unknown_index/index != edt->unknown_index/' table 'outstanding_swap.AnOlder*'
 mechanism 10 $core/edit.c 's/if (!edt->has_unknown) {/if (1) {/' table 'outstanding_swap.Conflict*'
 mechanism 10 $core/edit.c 's/^	edt->has_unknown = 0;//; s/edt->has_unknown = 1;//' table 'outstanding_swap.*'
+mechanism 10 $core/edit.c 's/^	       !tbl_exceeds(known, value);/	       1;/' table 'Edit.RevisionsGivenOutAgain*'
 mechanism 10 $core/member.c 's/^	mbr->push_periods_left = send_limit(mbr);//; s/note_sender(mbr, now, ip, port, env);//' member '*Spread*/1'
 mechanism R1 $core/flow.c 's/if (!viw_has_route(work->call->view/if (0 \&\& !viw_has_route(work->call->view/' flow 'Opening.NeverReaches*'
 mechanism R2 $core/flow_target.c 's/^	if (target->last.leaving)$/	if (0)/' flow 'Opening.AvoidsALeaving*'
--- a/src/core/edit.c
+++ b/src/core/edit.c
@@ -29,15 +29,20 @@
 	edt->failures++;
 }
 
-/* True if the platform's value is at least as new as this process's table. */
+/*
+ * True if the platform's value has all that this process's table has. Its
+ * revision alone does not tell: a platform that was restored from a backup may
+ * have given out revisions again.
+ */
 static int is_up_to_date(const Jj__Table *value, const struct tbl *known)
 {
-	return value && value->revision >= known->revision;
+	return value && value->revision >= known->revision &&
+	       !tbl_exceeds(known, value);
 }
 
 /*
  * Merges the platform's table and this process's own into candidate. If the
- * platform's is older, the result gets a revision above both, since it may
+ * platform's lacks rows, the result gets a revision above both, since it may
  * differ from either.
  */
 static enum jj_status load_candidate(struct edt *edt, const Jj__Table *value,
@@ -49,11 +54,11 @@
 	if (value)
 		status = tbl_merge(edt->candidate, value, &edt->error);
 	edt->restored = !is_up_to_date(value, known) && known->revision > 0;
-	if (status == JJ_STALE) {
+	if (status != JJ_OK && status != JJ_STALE)
+		return status;
+	if (edt->restored)
 		edt->candidate->revision++;
-		return JJ_OK;
-	}
-	return status;
+	return JJ_OK;
 }
 
 /* Chooses the next action once candidate holds the merged table. */
--- a/src/core/table_merge.c
+++ b/src/core/table_merge.c
@@ -378,3 +378,23 @@
 			       tbl_format_revision(tbl->revision).text);
 	return status;
 }
+
+int tbl_exceeds(const struct tbl *tbl, const Jj__Table *msg)
+{
+	uint32_t common = 0;
+	struct tbl_row row;
+	size_t i;
+
+	for (i = 0; i < msg->n_rows; i++) {
+		const struct tbl_row *held;
+
+		row_from_msg(&row, msg->rows[i]);
+		held = tbl_find_row(tbl, row.kind, row.name);
+		if (!held)
+			continue;
+		if (supersedes(held, &row))
+			return 1;
+		common++;
+	}
+	return common < tbl->count;
+}
--- a/src/io/table_sync.c
+++ b/src/io/table_sync.c
@@ -50,10 +50,15 @@
 	Jj__Table *table = jj__table__unpack(NULL, len, value);
 	struct jj_error err = { .message = "does not decode" };
 	enum jj_status status = JJ_MALFORMED;
+	int exceeds = 0;
 
-	if (table)
+	if (table) {
 		status = nod_merge_table(tsy->nod, table, &err);
-	if (status == JJ_STALE) {
+		pthread_mutex_lock(&tsy->nod->lock);
+		exceeds = tbl_exceeds(&tsy->nod->tbl, table);
+		pthread_mutex_unlock(&tsy->nod->lock);
+	}
+	if (status == JJ_STALE || (status == JJ_OK && exceeds)) {
 		log_put(sink(tsy), EV_TABLE_OLDER, "platform=%llu held=%llu",
 			(unsigned long long)table->revision,
 			(unsigned long long)tsy->nod->revision);
--- a/tests/table_test.cc
+++ b/tests/table_test.cc
@@ -392,6 +392,56 @@
 	EXPECT_EQ(edt.outcome, EDT_ACCEPTED);
 }
 
+/*
+ * The platform was restored, and a process that knows only the copy accepted
+ * changes at revisions that had been given out before.
+ */
+TEST(Edit, RevisionsGivenOutAgainLoseNoAcceptedChange)
+{
+	for (int count = 1; count <= 3; count++) {
+		static const char *const names[] = { "x", "y", "z" };
+		test_table held, other, candidate;
+		struct edt edt;
+
+		ASSERT_EQ(held.set("a", IN, 0, "1"), JJ_OK);
+		other.merge(held.packed());
+		ASSERT_EQ(held.set("b", OUT, 0, "2"), JJ_OK);
+		ASSERT_EQ(held.set("c", OUT, 0, "3"), JJ_OK);
+		for (int i = 0; i < count; i++)
+			ASSERT_EQ(other.set(names[i], OUT, 0, names[i]), JJ_OK);
+		std::string value = other.packed();
+		edt_init(&edt, nullptr, &candidate.tbl);
+		Jj__Table *msg = jj__table__unpack(
+			nullptr, value.size(), (const uint8_t *)value.data());
+		edt_on_read(&edt, EDT_READ_VALUE, 11, msg, &held.tbl);
+		jj__table__free_unpacked(msg, nullptr);
+		ASSERT_EQ(edt.action, EDT_SWAP) << count;
+		EXPECT_EQ(candidate.state("b"), OUT);
+		EXPECT_EQ(candidate.state("c"), OUT);
+		EXPECT_EQ(candidate.state("x"), OUT);
+		EXPECT_GT(candidate.tbl.revision, held.tbl.revision);
+		EXPECT_GT(candidate.tbl.revision, other.tbl.revision);
+	}
+}
+
+TEST(Edit, ANewerPlatformIsNotWrittenBack)
+{
+	test_table held, other, candidate;
+	struct edt edt;
+
+	ASSERT_EQ(held.set("a", IN, 0, "1"), JJ_OK);
+	other.merge(held.packed());
+	ASSERT_EQ(other.set("a", OUT, 1, "2"), JJ_OK);
+	std::string value = other.packed();
+	edt_init(&edt, nullptr, &candidate.tbl);
+	Jj__Table *msg = jj__table__unpack(nullptr, value.size(),
+					   (const uint8_t *)value.data());
+	edt_on_read(&edt, EDT_READ_VALUE, 11, msg, &held.tbl);
+	jj__table__free_unpacked(msg, nullptr);
+	EXPECT_EQ(edt.action, EDT_DONE);
+	EXPECT_EQ(edt.outcome, EDT_UNCHANGED);
+}
+
 /*
  * A swap without a reply is outstanding at index 10. Meanwhile another
  * operator has changed the row, and the platform was restored from a backup.
