--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -5,17 +5,21 @@
 # zone is evacuated. The load checks what callers and targets see
 # (standin/world.c). All faults end before the load does, and every feed must
 # then be answered.
-# usage: soak.sh SEED [SECONDS]
+# usage: soak.sh SEED [SECONDS] [restored]
+# restored: each time that the store was down, it comes back from a copy some
+# seconds old, and operators write again what it has lost.
 . "$(dirname "$0")/relay_lib.sh"
 
 seed=$1
 seconds=${2:-20}
+mode=${3:-}
 RANDOM=$seed
 TAIL_S=6 # time without faults at the end, in which all must recover
 declare -A state # of processes, the store and server 1 while a fault lasts
 undo_at=()
 undo_do=()
 version=7
+steps=0
 zone_out=0
 
 now_ms() { date +%s%3N; }
@@ -63,9 +67,21 @@
 }
 
 store_up() {
-	log_fault "store up"
+	log_fault "store up $mode"
+	[ "$mode" != restored ] || fault restore
 	fault up
 	unset "state[store]"
+	[ "$mode" = restored ] || return
+	configure $version
+	[ $zone_out = 1 ] || operator DELETE op/evacuate/zone-1
+	[ $zone_out = 0 ] || operator POST op/evacuate/zone-1 '{}'
+}
+
+# copy_store: every third time, while the store is up
+copy_store() {
+	[ "$mode" = restored ] && [ -z "${state[store]:-}" ] || return
+	steps=$((steps + 1))
+	[ $((steps % 3)) != 1 ] || fault copy
 }
 
 choose_process() {
@@ -158,10 +174,12 @@
 check_revisions() {
 	local log
 	for log in "$dir"/agent-*.log "$dir"/balancer-*.log; do
-		sed -n 's/.*pid=\([0-9]*\) event=JJ300.* revision=\([0-9]*\) .*/\1 \2/p' \
-			"$log" | awk '$2 < last[$1] { bad = 1 }
-			{ last[$1] = $2 } END { exit bad }' ||
-			fail "seed $seed: a revision fell, $log"
+		# pid, the store's era and its revision
+		sed -n 's/.*pid=\([0-9]*\) event=JJ300.* revision=\([0-9]*\)\.\([0-9]*\).*/\1 \2 \3/p' \
+			"$log" | awk '{ revision = $2 * 1000000 + $3 }
+			revision < last[$1] { bad = 1 }
+			{ last[$1] = revision } END { exit bad || !NR }' ||
+			fail "seed $seed: a revision fell, or is not logged, $log"
 	done
 }
 
@@ -172,6 +190,7 @@
 sleep 1
 while [ "$(now_ms)" -lt $((begin + seconds * 1000)) ]; do
 	run_due
+	copy_store
 	inject_fault
 	draw 900
 	sleep "0.$(printf %03d $((100 + drawn)))"
