Soak: the newest of operators' items must be in force everywhere at the end

It now compares the revision that each process has put into force with the newest item in the store.

--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -183,6 +183,22 @@
 	done
 }
 
+# Fails unless all processes have put the newest of the operators' items into
+# force.
+check_in_force() {
+	local name newest held
+	newest=$(curl -s --noproxy '*' -D "$dir/head" \
+		"http://$store/kv-range?prefix=op/" |
+		grep -o '"revision": *[0-9]*' | tr -dc '0-9\n' | sort -n | tail -n 1)
+	newest=$(tr -d '\r' <"$dir/head" | sed -n 's/^Store-Era: //p').$newest
+	for name in balancer-1 balancer-2 agent-{1..6}; do
+		held=$(grep JJ300 "$dir/$name.log" | tail -n 1 |
+			sed 's/.* revision=\([0-9.]*\).*/\1/')
+		[ "$(printf '%s\n' "$newest" "$held" | sort -V | tail -n 1)" = "$held" ] ||
+			fail "seed $seed: $name holds revision $held, the store $newest"
+	done
+}
+
 start_fleet
 sleep 1
 begin=$(now_ms)
@@ -203,5 +219,6 @@
 fi
 unset 'pids[load]'
 check_revisions
+check_in_force
 echo "seed $seed faults=$(wc -l <"$dir/faults.log") $(cat "$dir/load.out")"
 echo "PASS soak"
