Learn the store's era only from responses that name it

A process that starts while the store is away would have taken era 0 from its first failed call, and the first response then for a restore: a false JJ325, and rows held for longer. The store's client now says whether any response has named an era yet; holds of a process begin with its start. relay_restored_*, relay_watchers, relay_store_outage and restore_test pass.

--- a/include/jujube/log.h
+++ b/include/jujube/log.h
@@ -90,10 +90,10 @@
 	  "platform was restored from an older copy")                          \
 	X(326, LOG_INFO_, ITEM_OUTDATED,                                       \
 	  "item on the platform is older than the table")                      \
-	X(328, LOG_INFO_, TABLE_INCOMPLETE,                                    \
-	  "complete table requested from a member")                            \
 	X(327, LOG_WARN_, ROWS_HELD,                                           \
 	  "rows kept that the restored platform lacks")                        \
+	X(328, LOG_INFO_, TABLE_INCOMPLETE,                                    \
+	  "complete table requested from a member")                            \
 	X(510, LOG_INFO_, STATE_HANDED_OVER, "flows and ledger handed over")   \
 	X(511, LOG_INFO_, STATE_RESTORED, "flows and ledger restored")         \
 	X(512, LOG_WARN_, HANDOVER_FAILED,                                     \
--- a/include/jujube/table.h
+++ b/include/jujube/table.h
@@ -152,7 +152,10 @@
 enum jj_status tbl_apply(struct tbl *tbl, const struct tbl_edits *edits,
 			 struct jj_error *err);
 
-/* Revision of a row or table for a revision of an external store. */
+/*
+ * Revision of a row or table for a revision of an external store. era must be
+ * below 65,535, store_revision below 2^40.
+ */
 uint64_t tbl_compose_revision(uint64_t era, uint64_t store_revision);
 
 /* Text of a revision: "ERA.REVISION" if it is of an external store. */
--- a/src/io/registry.c
+++ b/src/io/registry.c
@@ -44,6 +44,8 @@
 		(unsigned long long)era, (unsigned long long)reg->era,
 		(unsigned long long)reg->as_of, (unsigned long long)reg->lease,
 		reg->watching);
+	reg->era = era;
+	reg->hold_until = net_now_ms() + REG_HOLD_MS;
 	reg->as_of = 0;
 	reg->lease = 0;
 	if (reg->step > REG_REGISTER)
@@ -57,20 +59,20 @@
  */
 static enum reg_status check_era(struct reg *reg, enum reg_status status)
 {
-	uint64_t era = reg->desc.store.era(reg->desc.store.ctx);
+	uint64_t era;
 
-	if (reg->era_known && era < reg->era)
-		return REG_REFUSED;
-	if (reg->era_known && era == reg->era)
+	if (!reg->desc.store.era(reg->desc.store.ctx, &era))
 		return status;
-	reg->hold_until = net_now_ms() + REG_HOLD_MS;
-	if (reg->era_known) {
-		enter_era(reg, era);
-		status = REG_RESTORED;
+	if (!reg->era_known) {
+		reg->era = era;
+		reg->era_known = 1;
 	}
-	reg->era = era;
-	reg->era_known = 1;
-	return status;
+	if (era < reg->era)
+		return REG_REFUSED;
+	if (era == reg->era)
+		return status;
+	enter_era(reg, era);
+	return REG_RESTORED;
 }
 
 /* -- lists --------------------------------------------------------------- */
@@ -443,6 +445,7 @@
 enum jj_status reg_start(struct reg *reg, struct nod *nod, struct jj_error *err)
 {
 	reg->nod = nod;
+	reg->hold_until = net_now_ms() + REG_HOLD_MS;
 	if (pthread_create(&reg->thread, NULL, run_registry, reg))
 		return st_fail(err, JJ_SYSTEM, "cannot start a thread");
 	return JJ_OK;
--- a/src/io/registry.h
+++ b/src/io/registry.h
@@ -44,8 +44,8 @@
 #define REG_CHECK_WAIT_MS 1 /* of the first watch after a failed call */
 #define REG_IDLE_MS 100 /* interval to check for due calls */
 /*
- * After a start or a restore of the store. A process that starts may receive
- * rows from peers that the restored store lacks.
+ * How long rows are held after a start or a restore of the store. A process
+ * that starts may receive rows from peers that the restored store lacks.
  */
 #define REG_HOLD_MS 30000
 
@@ -92,10 +92,10 @@
 	enum reg_status (*renew)(void *ctx, uint64_t lease);
 	enum reg_status (*revoke)(void *ctx, uint64_t lease);
 	/*
-	 * How often the store was restored from an older copy, by its last
-	 * response.
+	 * Sets how often the store was restored from an older copy, by its last
+	 * response; 0: no response has told so far.
 	 */
-	uint64_t (*era)(void *ctx);
+	int (*era)(void *ctx, uint64_t *era);
 	/* Sets the version and the rows of an item, which are on the heap. */
 	enum jj_status (*to_rows)(void *ctx, const struct reg_item *item,
 				  struct tbl_source *source,
