--- a/tests/fuzz_test.cc
+++ b/tests/fuzz_test.cc
@@ -124,6 +124,62 @@
 	EXPECT_GT(merged, 0);
 }
 
+static void set_source(struct tbl *tbl, const std::vector<std::string> &names,
+		       uint64_t version)
+{
+	std::vector<tbl_row> rows;
+	tbl_update update;
+	tbl_row row = {};
+
+	row.kind = JJ__KIND__KIND_SERVICE;
+	row.weight = TBL_WEIGHT_DEFAULT;
+	for (auto &name : names) {
+		snprintf(row.name, sizeof(row.name), "%s", name.c_str());
+		rows.push_back(row);
+	}
+	tbl_source source = { "op/config", rows.data(), (uint32_t)rows.size(),
+			      version, tbl_compose_revision(1, version) };
+	ASSERT_EQ(tbl_replace_source(tbl, &source, &update, nullptr), JJ_OK);
+	tbl_raise_revision(tbl, source.revision);
+}
+
+/* Differences and complete tables with digests of their sources. */
+TEST(Fuzz, TablesWithSourcesFromPeers)
+{
+	std::mt19937 rng(7);
+	struct tbl sender;
+	int merged = 0;
+
+	ASSERT_TRUE(tbl_init(&sender, 8));
+	set_source(&sender, { "a", "b" }, 5);
+	set_source(&sender, { "b", "c" }, 9);
+	for (int i = 0; i < ITERATIONS; i++) {
+		size_t len = 0;
+		uint8_t *packed = tbl_pack(
+			&sender, i % 2 ? 0 : tbl_compose_revision(1, 5), &len);
+		std::string bytes =
+			mutate(std::string((char *)packed, len), rng);
+		Jj__Table *msg = jj__table__unpack(
+			nullptr, bytes.size(), (const uint8_t *)bytes.data());
+		struct tbl tbl;
+
+		free(packed);
+		if (!msg)
+			continue;
+		ASSERT_TRUE(tbl_init(&tbl, 8));
+		set_source(&tbl, { "a", "b" }, 5);
+		if (tbl_merge(&tbl, msg, nullptr) == JJ_OK)
+			merged++;
+		for (uint32_t row = 0; row < tbl.count; row++)
+			ASSERT_EQ(tbl_check_row(&tbl.rows[row], nullptr),
+				  JJ_OK);
+		tbl_finish(&tbl);
+		jj__table__free_unpacked(msg, nullptr);
+	}
+	tbl_finish(&sender);
+	EXPECT_GT(merged, 0);
+}
+
 TEST(Fuzz, TablesFromOperators)
 {
 	std::mt19937 rng(3);
