Review case 4: heartbeat 1 after a restart of both sides resets open flows

Cause: an agent takes heartbeat number 1 of its target as proof that it has seen all flows open, although its former life may have opened some before; an entry of KNOWN-RED.txt.

--- a/review/standin/driver.c
+++ b/review/standin/driver.c
@@ -14,7 +14,10 @@
  *
  * Commands:
  *   balancers COUNT            balancers that the routers know
- *   server N SERVICE ZONE SEQ  starts server N; SEQ is that of its first heartbeat
+ *   server N SERVICE ZONE SEQ [MS]  starts server N; SEQ is that of its first
+ *                              heartbeat, which it sends after MS
+ *   crash N                    ends server N
+ *   mute N MS                  its next heartbeat comes after MS
  *   drain N                    from the next heartbeat on it reports "draining"
  *   writer N TEXT              from now on TEXT is put to N's agent as the body of
  *                              /instances/x-other, once a heartbeat; "-" ends this
@@ -615,6 +618,21 @@
 	s->seq = seq;
 }
 
+static void crash_server(struct server *s)
+{
+	int number = (int)(s - servers);
+	int i;
+
+	close(s->udp);
+	close(s->tcp);
+	memset(s, 0, sizeof(*s));
+	for (i = 0; i < flow_count; i++) {
+		flows[i].server_isn[number] = 0;
+		if (flows[i].holder == number)
+			flows[i].holder = 0;
+	}
+}
+
 static void run_server(struct server *s, long long now)
 {
 	int fd;
@@ -758,10 +776,17 @@
 	if (!strcmp(word[0], "balancers"))
 		balancer_count = atoi(word[1]);
 	else if (!strcmp(word[0], "server")) {
-		char *seq = strrchr(line, ' ');
-
-		start_server(atoi(word[1]), word[2], word[3], atoll(seq));
-	} else if (!strcmp(word[0], "drain"))
+		long long seq = 1;
+		int delay_ms = 0;
+
+		sscanf(line, "%*s %*s %*s %*s %lld %d", &seq, &delay_ms);
+		start_server(atoi(word[1]), word[2], word[3], seq);
+		servers[atoi(word[1])].next = now_ms() + delay_ms;
+	} else if (!strcmp(word[0], "crash"))
+		crash_server(&servers[atoi(word[1])]);
+	else if (!strcmp(word[0], "mute"))
+		servers[atoi(word[1])].next = now_ms() + atoll(word[2]);
+	else if (!strcmp(word[0], "drain"))
 		servers[atoi(word[1])].draining = 1;
 	else if (!strcmp(word[0], "writer")) {
 		struct server *s = &servers[atoi(word[1])];
--- a/review/standin/fleet.sh
+++ b/review/standin/fleet.sh
@@ -58,7 +58,8 @@
 	local pid tries=400
 	pid=$(cat "$dir/$1.pid")
 	kill -s "$2" "$pid"
-	while kill -0 "$pid" 2>/dev/null && [ $tries -gt 0 ]; do
+	while grep -qs '^State:[[:space:]]*[^Z[:space:]]' "/proc/$pid/status" &&
+		[ $tries -gt 0 ]; do
 		sleep 0.02
 		tries=$((tries - 1))
 	done
