Review: routes of the scripts have loopback addresses

Cause: every address in a case has to be a loopback address; the routes' host was not, although nothing is sent to it.

--- a/review/standin/driver.c
+++ b/review/standin/driver.c
@@ -6,7 +6,8 @@
  * The platform's interfaces are those of PROTOCOL.md. Server i has the address
  * 127.NET.2.i (packets and TCP at port 8165; its agent's ports are 8162 and
  * 8166), balancer i 127.NET.1.i (packets at 8172, readiness at 8167), the store
- * 127.NET.9.1:8169. Callers are at 127.NET.3.1:8172.
+ * 127.NET.9.1:8169. Callers are at 127.NET.3.1:8172. Routes have the host 127.NET.8.1,
+ * to which nothing is sent.
  *
  * Routers hash the four addresses and ports of a flow over the balancers in
  * rotation (hash = mod). Servers answer each request at once and keep a flow
@@ -22,7 +23,7 @@
  *   writer N TEXT              from now on TEXT is put to N's agent as the body of
  *                              /instances/x-other, once a heartbeat; "-" ends this
  *   config FILE | evacuate ZONE | delete KEY    changes of the store
- *   open COUNT PORT            opens flows to 198.18.0.1:PORT and keeps them
+ *   open COUNT PORT            opens flows to 127.NET.8.1:PORT and keeps them
  *   load PER_S PORT [COUNT MS] opens flows of COUNT requests (1), MS after each
  *                              answer; PER_S 0 ends it
  *   slow N MS                  server N sends its packets MS later
@@ -59,7 +60,6 @@
 #define BALANCERS 8
 #define FLOWS 16384
 #define LATE 512
-#define ROUTE_IP 0xc6120001u /* 198.18.0.1 */
 #define HEARTBEAT_MS 770
 #define READY_MS 500
 #define REQUEST 100 /* bytes */
@@ -297,7 +297,7 @@
 
 	put32(p, f->seq);
 	put32(p + 4, ack);
-	put32(p + 12, ROUTE_IP);
+	put32(p + 12, address(8, 1));
 	put32(p + 16, address(3, 1));
 	put16(p + 20, f->port);
 	put16(p + 22, f->dport);
--- a/review/standin/fleet.sh
+++ b/review/standin/fleet.sh
@@ -117,7 +117,7 @@
 write_config() {
 	cat >"$dir/config-$1.json" <<-END
 	{"version":$1,"routes":[$2
-	{"name":"r-main","host":"198.18.0.1","prefix":"/443/","kind":"idempotent",
+	{"name":"r-main","host":"127.$net.8.1","prefix":"/443/","kind":"idempotent",
 	"timeoutMs":2500,"targetLatencyMs":150,"priority":2,"service":"desk",
 	"attempts":2}],"services":[{"name":"desk","healthPath":"/healthz",
 	"maxConns":2000,"protocol":"h1","tls":false,"warmupS":2.0,
@@ -128,6 +128,6 @@
 
 # route NAME PORT: JSON of a route to desk
 route() {
-	printf '{"name":"%s","host":"198.18.0.1","prefix":"/%s/","kind":"idempotent",' "$1" "$2"
+	printf '{"name":"%s","host":"127.'$net'.8.1","prefix":"/%s/","kind":"idempotent",' "$1" "$2"
 	printf '"timeoutMs":2500,"targetLatencyMs":150,"priority":2,"service":"desk"},'
 }
