Do not take a first heartbeat as proof of knowing all flows

Cause: heartbeat 1 was taken as proof that the agent had seen all flows of its target open, as none is passed on before it. That holds within one life of the agent. Here the former life, which had heard an earlier start, passed openings to the restarted target before its first heartbeat; the next life received it and answered "not held" (JJ523 asked=3 silent=0 unknown=0 reset=1).

Change: it counts only if the target is younger than the agent: an earlier start was heard in this life, or the target's address refused a connection after this agent's start and accepted one after the heartbeat. Agents probe the address at once when they start. JJ505 shows it as followed=. Otherwise the agent answers "unknown", and packets go to its target on trial.

Ruled out: a peer that answers for the agent (all three agents of the service were asked). Looked at: the wait for the idle time, phase down, CoAP agents; see the postmortem.

Failed before: Lost.AFirstHeartbeat* (6 resets of held flows) and LostSeeds without its restriction (7 more). Pass after, as do flow, load and overload.

--- a/include/jujube/flow.h
+++ b/include/jujube/flow.h
@@ -447,6 +447,14 @@
 	uint8_t leaving;
 };
 
+/* Whether all packets for the target's present process passed this agent. */
+enum flw_followed {
+	FLW_NOT_FOLLOWED, /* not known: it may be older than this agent */
+	/* yes if it accepts connections; without it, a refused one was no proof */
+	FLW_FOLLOWED_IF_LISTENING,
+	FLW_FOLLOWED,
+};
+
 struct flw_target {
 	struct flw_heartbeat last; /* empty id: none received yet */
 	uint64_t last_at; /* arrival of the last heartbeat */
@@ -456,9 +464,10 @@
 	uint32_t opening_next; /* next position in opening_times */
 	uint64_t opening_times[FLW_OPENING_TIMES];
 	uint8_t left; /* the target announced that it has left */
-	/* heartbeats were received from its first one on */
-	uint8_t followed_from_start;
+	uint8_t followed_from_start; /* enum flw_followed */
 	uint8_t port_closed; /* connections to its address are refused */
+	/* its address refused a connection before the first heartbeat */
+	uint8_t absent;
 	struct spd speed;
 	struct prb probe;
 	/* proof that the target's process is gone, 0: none since it was heard */
@@ -590,12 +599,17 @@
  */
 enum jj_status flw_on_target_left(struct flw *flw, const char *id);
 
+/* Whether a heartbeat of the target was received. */
+int flw_target_known(struct flw *flw);
 /*
- * Whether a heartbeat of the target was received. If none was and connections
- * to the target's address are refused (flw_on_target_port_closed()), the target
- * holds no flows.
+ * A connection to the target's address was refused after this agent's start: a
+ * process that serves the address later is younger than this agent.
+ */
+void flw_on_target_absent(struct flw *flw);
+/*
+ * The same when a running target would have sent a heartbeat: until it sends
+ * one, it counts as gone and holds no flows.
  */
-int flw_target_known(struct flw *flw);
 void flw_on_target_port_closed(struct flw *flw);
 
 /* Handles a new view: notifies new homes of the flows that this agent holds. */
--- a/include/jujube/probe.h
+++ b/include/jujube/probe.h
@@ -93,6 +93,9 @@
 int prb_end(struct prb *prb, uint64_t began_at, enum prb_result result,
 	    uint64_t now);
 
+/* Whether the target has accepted a connection since its start. */
+int prb_has_listened(const struct prb *prb);
+
 /* Start of the current silence. */
 uint64_t prb_silent_since(const struct prb *prb);
 
--- a/src/core/flow_target.c
+++ b/src/core/flow_target.c
@@ -18,11 +18,7 @@
  * this many intervals.
  */
 #define STARTUP_HEARTBEATS 2
-/*
- * Number of a target's first heartbeat; no agent can have received an earlier
- * one.
- */
-#define FIRST_HEARTBEAT_SEQ 1
+#define FIRST_HEARTBEAT_SEQ 1 /* number of a target's first heartbeat */
 
 /* -- heartbeats ---------------------------------------------------------- */
 
@@ -49,6 +45,22 @@
 	       heartbeat->started_ms != held->started_ms;
 }
 
+/*
+ * A first heartbeat alone is no proof: a former life of this agent may have
+ * given the target flows before. The target must have started after this agent
+ * did, that is, after an earlier start was heard here or while its address
+ * refused connections.
+ */
+static enum flw_followed follow_new_start(const struct flw_target *target,
+					  const struct flw_heartbeat *heartbeat)
+{
+	if (heartbeat->seq > FIRST_HEARTBEAT_SEQ)
+		return FLW_NOT_FOLLOWED;
+	if (*target->last.id)
+		return FLW_FOLLOWED;
+	return target->absent ? FLW_FOLLOWED_IF_LISTENING : FLW_NOT_FOLLOWED;
+}
+
 /* Target lock held. */
 static void apply_heartbeat(struct flw *flw,
 			    const struct flw_heartbeat *heartbeat, uint64_t now)
@@ -57,17 +69,19 @@
 	int new_start = is_new_start(heartbeat, &target->last);
 
 	flw_compare_starts(flw, heartbeat, now);
+	if (new_start)
+		target->followed_from_start =
+			follow_new_start(target, heartbeat);
 	if (new_start || heartbeat->leaving != target->last.leaving)
 		log_put(flw->desc.log, EV_TARGET_REPORT,
 			"target=%s born_ms=%llu seq=%llu leaving=%d "
-			"cold_ms=%u slots=%u",
+			"cold_ms=%u slots=%u followed=%d",
 			heartbeat->id,
 			(unsigned long long)heartbeat->started_ms,
 			(unsigned long long)heartbeat->seq, heartbeat->leaving,
-			heartbeat->cold_ms, heartbeat->slots);
+			heartbeat->cold_ms, heartbeat->slots,
+			target->followed_from_start);
 	if (new_start) {
-		target->followed_from_start =
-			heartbeat->seq <= FIRST_HEARTBEAT_SEQ;
 		target->speed = (struct spd){ 0 };
 		target->unanswered = 0;
 		target->left = 0;
@@ -152,21 +166,39 @@
 	return received;
 }
 
+void flw_on_target_absent(struct flw *flw)
+{
+	pthread_mutex_lock(&flw->target_lock);
+	flw->target.absent = 1;
+	pthread_mutex_unlock(&flw->target_lock);
+}
+
 void flw_on_target_port_closed(struct flw *flw)
 {
 	pthread_mutex_lock(&flw->target_lock);
+	flw->target.absent = 1;
 	flw->target.port_closed = 1;
 	pthread_mutex_unlock(&flw->target_lock);
 	log_put(flw->desc.log, EV_TARGET_NOT_LISTENING, "service=%s",
 		flw->desc.service);
 }
 
+/* Target lock held. */
+static int is_followed(const struct flw *flw)
+{
+	const struct flw_target *target = &flw->target;
+
+	if (target->followed_from_start == FLW_FOLLOWED_IF_LISTENING)
+		return !flw_probes_target(flw) ||
+		       prb_has_listened(&target->probe);
+	return target->followed_from_start == FLW_FOLLOWED;
+}
+
 /*
- * Every packet for the target passes through this agent, and none is passed on
- * before the first heartbeat was received. An agent that received a target's
- * first heartbeat therefore saw all of its flows open. Any other agent knows
- * them all once it has run for the time after which idle flows are removed. A
- * target that is gone holds no flow that could be served.
+ * Every packet for the target passes through its agent. If the target's process
+ * is younger than this agent, it saw all flows open. Any other agent knows them
+ * all once it has run for the time after which idle flows are removed. A target
+ * that is gone holds no flow that could be served.
  */
 int flw_knows_all_flows(const struct flw_call *call)
 {
@@ -177,8 +209,7 @@
 	if (flw->table_full_at && call->now < flw->table_full_at + idle_us)
 		return 0;
 	pthread_mutex_lock(&flw->target_lock);
-	known_all = flw->target.followed_from_start ||
-		    flw_target_proven_gone(flw, call->now);
+	known_all = is_followed(flw) || flw_target_proven_gone(flw, call->now);
 	pthread_mutex_unlock(&flw->target_lock);
 	return known_all || call->now > flw->started_at + idle_us;
 }
--- a/src/core/probe.c
+++ b/src/core/probe.c
@@ -31,6 +31,11 @@
 	prb->contradicted = 1;
 }
 
+int prb_has_listened(const struct prb *prb)
+{
+	return prb->accepted;
+}
+
 uint64_t prb_silent_since(const struct prb *prb)
 {
 	return prb->asked_at > prb->heard_at ? prb->asked_at : prb->heard_at;
--- a/src/io/egress.c
+++ b/src/io/egress.c
@@ -224,15 +224,34 @@
 }
 
 /*
- * A running target sends a heartbeat within one interval of the agent's start.
- * When none has come, probes the target's address once: if nothing serves it,
- * the target does not run and holds no flows, so that nothing has to wait for
- * its heartbeat.
+ * The target's address is probed at once, as a target that does not run yet is
+ * younger than this agent, whatever its first heartbeat says. A running target
+ * sends a heartbeat within one interval of the agent's start. When none has
+ * come, its address is probed again: if nothing serves it, the target holds no
+ * flows, so that nothing has to wait for its heartbeat.
  */
 static int is_start_probe_due(const struct egr *egr, int known)
 {
-	return !egr->start_probe_done && !known &&
-	       net_now_ms() >= egr->started_ms + TARGET_PROBE_DELAY_MS;
+	if (known)
+		return 0;
+	return egr->start_probe == EGR_PROBE_AT_ONCE ||
+	       (egr->start_probe == EGR_PROBE_AFTER_DELAY &&
+		net_now_ms() >= egr->started_ms + TARGET_PROBE_DELAY_MS);
+}
+
+/* Handles the result of a probe after a start, and schedules the next. */
+static void on_start_probe_result(struct egr *egr, enum ppr_result result,
+				  int known)
+{
+	if (result == PPR_REFUSED && !known) {
+		if (egr->start_probe == EGR_PROBE_AT_ONCE)
+			flw_on_target_absent(&egr->flw);
+		else
+			flw_on_target_port_closed(&egr->flw);
+	}
+	egr->start_probe = egr->start_probe == EGR_PROBE_AT_ONCE ?
+				   EGR_PROBE_AFTER_DELAY :
+				   EGR_PROBE_DONE;
 }
 
 static enum prb_result probe_result(enum ppr_result result)
@@ -262,9 +281,7 @@
 				    probe_result(result));
 		return;
 	}
-	egr->start_probe_done = 1;
-	if (result == PPR_REFUSED && !known)
-		flw_on_target_port_closed(&egr->flw);
+	on_start_probe_result(egr, result, known);
 }
 
 /* Announces the target's phase to the fleet. */
--- a/src/io/egress.h
+++ b/src/io/egress.h
@@ -27,6 +27,13 @@
 
 struct egr_thread;
 
+/* Probes of the target's address after a start of this process. */
+enum egr_start_probe {
+	EGR_PROBE_AT_ONCE,
+	EGR_PROBE_AFTER_DELAY,
+	EGR_PROBE_DONE,
+};
+
 struct egr {
 	struct egr_desc desc;
 	struct nod *nod;
@@ -37,7 +44,7 @@
 	struct ppr probe; /* of the target's address */
 	/* see flw_begin_probe(); 0: no probe, or the one after a start */
 	uint64_t probe_began_at;
-	int start_probe_done; /* the probe after a start has ended */
+	enum egr_start_probe start_probe; /* the next one */
 	_Atomic int stopping;
 };
 
--- a/tests/lost_test.cc
+++ b/tests/lost_test.cc
@@ -611,6 +611,93 @@
 	EXPECT_TRUE(fleet.callers[key].open);
 }
 
+/*
+ * Guards against resets of flows that a restarted target was given by the
+ * former life of its agent: its first heartbeat is not sent before the agent
+ * has restarted, too, and proves nothing about them.
+ */
+TEST(Lost, AFirstHeartbeatIsNoProofOfFlowsOfTheAgentsFormerLife)
+{
+	for (bool declared_dead : { false, true }) {
+		lost_fleet fleet(13 + declared_dead);
+		relay_agent &agent = *fleet.agents[0];
+
+		fleet.run(500 * MS);
+		fleet.restart_target(agent);
+		auto keys = fleet.open(0, 9);
+		ASSERT_GT(fleet.count_opened(keys, FIRST), 0);
+		ASSERT_EQ(agent.seq, 0u);
+		if (declared_dead) {
+			fleet.kill_agent(agent);
+			fleet.run(20 * MS);
+		}
+		flw_finish(agent.core.get());
+		fleet.start(agent);
+		fleet.run(SECOND);
+		ASSERT_EQ(agent.seq, 1u);
+		fleet.publish_agent(agent);
+		fleet.add_balancer("balancer-3");
+		for (auto key : keys)
+			fleet.request(key, 2);
+		fleet.run(SECOND);
+		EXPECT_TRUE(fleet.resets.empty()) << declared_dead;
+		for (auto key : keys)
+			EXPECT_EQ(fleet.callers[key].answers, 2)
+				<< declared_dead;
+	}
+}
+
+/*
+ * An agent that saw its target start knows all its flows. Guards against a
+ * search at every target for each flow that was lost.
+ */
+TEST(Lost, ATargetThatStartsAfterItsAgentIsFollowedFromItsFirstHeartbeat)
+{
+	const struct {
+		const char *what;
+		bool refused; /* a connection, when the agent had started */
+		bool earlier; /* a heartbeat of an earlier start came before */
+		uint64_t first_seq;
+		prb_result probed; /* after the first heartbeat */
+		bool followed;
+	} cases[] = {
+		{ "refused, then listens", true, false, 1, PRB_ACCEPTED, true },
+		{ "refused, never listens", true, false, 1, PRB_REFUSED,
+		  false },
+		{ "refused, heartbeats missed", true, false, 2, PRB_ACCEPTED,
+		  false },
+		{ "listened before", false, false, 1, PRB_ACCEPTED, false },
+		{ "earlier start", false, true, 1, PRB_REFUSED, true },
+		{ "earlier start, heartbeats missed", false, true, 2,
+		  PRB_ACCEPTED, false },
+	};
+
+	for (const auto &c : cases) {
+		lost_fleet fleet(15, 1);
+		relay_agent &agent = *fleet.agents[0];
+
+		fleet.processes[FIRST].frozen = true; /* beats by hand */
+		fleet.on_tick = nullptr; /* probes by hand */
+		flw_finish(agent.core.get());
+		fleet.start(agent);
+		if (c.refused)
+			flw_on_target_absent(agent.core.get());
+		if (c.earlier)
+			fleet.report(agent, 100, 7);
+		fleet.report(agent, 200, c.first_seq);
+		flw_call call = fleet.call_of(agent);
+		flw_on_probe_result(&call, flw_begin_probe(&call), c.probed);
+		uint64_t key = fleet.add_caller(1);
+		fake_caller &caller = fleet.callers[key];
+		caller.head.opens = 0;
+		caller.head.acknowledges = 1;
+		fleet.deliver(0, key, { caller.head, 0 }, 0 /* home */);
+		EXPECT_EQ(agent.counters->counters[MET_TRIALS],
+			  c.followed ? 0u : 1u)
+			<< c.what;
+	}
+}
+
 /* Crashes, freezes, restarts and dead agents in drawn order. */
 TEST(LostSeeds, NoHeldFlowIsReset)
 {
@@ -641,13 +728,13 @@
 				fleet.restart_target(a);
 				break;
 			case 4: /* the agent's process; its target runs on */
-				if (!a.seq || !a.alive)
+				if (!a.alive)
 					break;
 				flw_finish(a.core.get());
 				fleet.start(a);
 				break;
 			case 5: /* it is declared dead, and starts later */
-				if (!a.seq || !a.alive)
+				if (!a.alive)
 					break;
 				fleet.kill_agent(a);
 				fleet.schedule(2 * SECOND, [&fleet, &a, &p] {
