Accept heartbeats only of the agent's own target

Cause: any well-formed heartbeat of the service replaced the target's record. The address was not looked at, absent fields counted as 0, and another id was a new start where one of the two named none. So a heartbeat of another writer without address and start ended the drain until the target's next one; a cold target counted as warm in the same way.

Ports are plain digits everywhere.

--- a/include/jujube/flow.h
+++ b/include/jujube/flow.h
@@ -246,6 +246,8 @@
 	uint32_t queue; /* requests accepted beyond the slots, 0: none */
 	uint32_t flow_ttl_s; /* 0: 60 */
 	uint32_t heartbeat_ms; /* of the target, 0: 1000 */
+	uint32_t target_ip; /* of the target, as in its heartbeats */
+	uint16_t target_port;
 	/* Settings of the same names, see proto/settings.proto. */
 	uint32_t wait_queue;
 	uint32_t wait_max_ms; /* 0: FLW_WAIT_MAX_MS */
@@ -440,6 +442,8 @@
 struct flw_heartbeat {
 	char id[TBL_NAME_MAX];
 	char service[TBL_NAME_MAX];
+	uint32_t ip; /* address that the target serves */
+	uint16_t port;
 	uint64_t started_ms; /* start time of the target, 0: not given */
 	uint64_t seq; /* increases while the target runs */
 	uint32_t slots;
@@ -586,8 +590,9 @@
 		 const Jj__Load *load);
 
 /*
- * Handles a heartbeat of the target. Changes nothing and returns JJ_STALE if it
- * is older than the last one, JJ_INVALID if it is of another service.
+ * Handles a heartbeat of the target. Changes nothing and returns JJ_INVALID if
+ * it is of another service or address, or leaves out its start though the
+ * running target gives one; JJ_STALE if it is older than the last one.
  */
 enum jj_status flw_on_heartbeat(struct flw *flw,
 				const struct flw_heartbeat *heartbeat,
--- a/src/core/flow_target.c
+++ b/src/core/flow_target.c
@@ -26,8 +26,6 @@
 static int compare_heartbeats(const struct flw_heartbeat *heartbeat,
 			      const struct flw_heartbeat *held)
 {
-	if (!*held->id)
-		return 1;
 	if (heartbeat->started_ms && held->started_ms &&
 	    heartbeat->started_ms != held->started_ms)
 		return heartbeat->started_ms > held->started_ms ? 1 : -1;
@@ -38,6 +36,59 @@
 	return 0;
 }
 
+/* Whether no heartbeat has come for as long as a running target sends some. */
+static int is_silent(const struct flw *flw, uint64_t now)
+{
+	return now > flw->target.last_at + MISSED_HEARTBEATS_MAX *
+						   flw->desc.heartbeat_ms *
+						   1000ull;
+}
+
+/* Whether the heartbeat is of the agent's target, by its content alone. */
+static enum jj_status check_identity(const struct flw *flw,
+				     const struct flw_heartbeat *heartbeat,
+				     struct jj_error *err)
+{
+	const struct flw_desc *desc = &flw->desc;
+
+	if (strcmp(heartbeat->service, desc->service))
+		return st_fail(err, JJ_INVALID,
+			       "target %s belongs to service %s, not %s",
+			       heartbeat->id, heartbeat->service,
+			       desc->service);
+	if (heartbeat->ip != desc->target_ip ||
+	    heartbeat->port != desc->target_port)
+		return st_fail(err, JJ_INVALID,
+			       "target %s does not have the address that this "
+			       "agent serves",
+			       heartbeat->id);
+	return JJ_OK;
+}
+
+/* Whether the heartbeat may replace the last one. Target lock held. */
+static enum jj_status check_order(const struct flw *flw,
+				  const struct flw_heartbeat *heartbeat,
+				  uint64_t now, struct jj_error *err)
+{
+	const struct flw_heartbeat *held = &flw->target.last;
+
+	if (!*held->id)
+		return JJ_OK;
+	if (held->started_ms && !heartbeat->started_ms && !is_silent(flw, now))
+		return st_fail(err, JJ_INVALID,
+			       "target %s gives no start, unlike target %s, "
+			       "which is running",
+			       heartbeat->id, held->id);
+	if (compare_heartbeats(heartbeat, held) < 0)
+		return st_fail(err, JJ_STALE,
+			       "target %s: heartbeat %llu of start %llu is "
+			       "older than the last one",
+			       heartbeat->id,
+			       (unsigned long long)heartbeat->seq,
+			       (unsigned long long)heartbeat->started_ms);
+	return JJ_OK;
+}
+
 static int is_new_start(const struct flw_heartbeat *heartbeat,
 			const struct flw_heartbeat *held)
 {
@@ -99,23 +150,14 @@
 				const struct flw_heartbeat *heartbeat,
 				uint64_t now, struct jj_error *err)
 {
-	enum jj_status status = JJ_OK;
+	enum jj_status status = check_identity(flw, heartbeat, err);
 
-	if (strcmp(heartbeat->service, flw->desc.service))
-		return st_fail(err, JJ_INVALID,
-			       "target %s belongs to service %s, not %s",
-			       heartbeat->id, heartbeat->service,
-			       flw->desc.service);
+	if (status != JJ_OK)
+		return status;
 	pthread_mutex_lock(&flw->target_lock);
-	if (compare_heartbeats(heartbeat, &flw->target.last) >= 0)
+	status = check_order(flw, heartbeat, now, err);
+	if (status == JJ_OK)
 		apply_heartbeat(flw, heartbeat, now);
-	else
-		status = st_fail(err, JJ_STALE,
-				 "target %s: heartbeat %llu of start %llu is "
-				 "older than the last one",
-				 heartbeat->id,
-				 (unsigned long long)heartbeat->seq,
-				 (unsigned long long)heartbeat->started_ms);
 	pthread_mutex_unlock(&flw->target_lock);
 	return status;
 }
@@ -136,16 +178,14 @@
 
 int flw_target_gone(const struct flw *flw, uint64_t now)
 {
-	uint64_t heartbeat_us = flw->desc.heartbeat_ms * 1000ull;
-
 	if (flw->target.lost_at)
 		return 1;
 	if (!*flw->target.last.id)
 		return flw->target.port_closed ||
-		       now > flw->started_at +
-				       STARTUP_HEARTBEATS * heartbeat_us;
-	return flw->target.left ||
-	       now > flw->target.last_at + MISSED_HEARTBEATS_MAX * heartbeat_us;
+		       now > flw->started_at + STARTUP_HEARTBEATS *
+						       flw->desc.heartbeat_ms *
+						       1000ull;
+	return flw->target.left || is_silent(flw, now);
 }
 
 int flw_target_proven_gone(const struct flw *flw, uint64_t now)
--- a/src/core/table.c
+++ b/src/core/table.c
@@ -7,6 +7,8 @@
 #include <string.h>
 #include "jujube/rank.h"
 
+#define PORT_DIGITS_MAX 5
+
 /* -- memory -------------------------------------------------------------- */
 
 int tbl_init(struct tbl *tbl, uint32_t capacity)
@@ -104,8 +106,8 @@
 	const char *colon = strchr(text, ':');
 	struct in_addr addr;
 	char host[16];
-	char *end;
-	long value;
+	size_t digits;
+	unsigned long value;
 
 	if (!colon || (size_t)(colon - text) >= sizeof(host))
 		return st_fail(err, JJ_INVALID, "'%s' is not ip:port", text);
@@ -114,8 +116,11 @@
 	if (inet_pton(AF_INET, host, &addr) != 1)
 		return st_fail(err, JJ_INVALID, "'%s' is not an IPv4 address",
 			       host);
-	value = strtol(colon + 1, &end, 10);
-	if (end == colon + 1 || *end || value < 1 || value > 65535)
+	digits = strspn(colon + 1, "0123456789");
+	value = digits && digits <= PORT_DIGITS_MAX && !colon[1 + digits] ?
+			strtoul(colon + 1, NULL, 10) :
+			0;
+	if (value < 1 || value > 65535)
 		return st_fail(err, JJ_INVALID, "'%s' is not a port",
 			       colon + 1);
 	*ip = ntohl(addr.s_addr);
--- a/src/io/egress.c
+++ b/src/io/egress.c
@@ -376,6 +376,8 @@
 		 desc->flow.probe_silence_ms > 0);
 	egr->started_ms = net_now_ms();
 	flow.id = nod->id;
+	flow.target_ip = desc->target_ip;
+	flow.target_port = desc->target_port;
 	flow.met = &nod->met;
 	flow.log = &nod->desc.log->sink;
 	flow.hooks = (struct flw_hooks){ .to_target = send_to_target,
--- a/src/io/egress.h
+++ b/src/io/egress.h
@@ -14,7 +14,7 @@
 #include "port_probe.h"
 
 struct egr_desc {
-	struct flw_desc flow; /* egr_init() sets id, hooks, met and log */
+	struct flw_desc flow; /* egr_init() sets id, target, hooks, met, log */
 	uint32_t threads;
 	uint32_t ip; /* address that the target sends to */
 	uint16_t port;
--- a/tests/flow_test.cc
+++ b/tests/flow_test.cc
@@ -799,6 +799,9 @@
 	uint64_t seq;
 	const char *service;
 	jj_status wanted;
+	uint16_t port; /* 0: that of the agent's target */
+	/* since the last heartbeat, which is missed after 3,000 */
+	uint64_t silent_ms;
 };
 
 static const heartbeat_case heartbeats[] = {
@@ -810,9 +813,19 @@
 	{ "another target, later", "u", 200, 1, "desk", JJ_OK },
 	{ "another target, delayed", "u", 50, 99, "desk", JJ_STALE },
 	{ "of another service", "t", 100, 9, "vault", JJ_INVALID },
+	{ "of another address", "u", 200, 9, "desk", JJ_INVALID, 81 },
+	{ "of another address, its id", "t", 200, 9, "desk", JJ_INVALID, 81 },
+	{ "without its start", "t", 0, 9, "desk", JJ_INVALID },
+	{ "another target without its start", "u", 0, 9, "desk", JJ_INVALID },
+	{ "the only one, without its start", "u", 0, 9, "desk", JJ_OK, 0,
+	  3001 },
 };
 
-TEST(Heartbeats, AreAcceptedInTheOrderOfTheirTargetsStarts)
+/*
+ * Guards against a record of another writer that replaces the target's, and so
+ * ends its drain or its cold start.
+ */
+TEST(Heartbeats, AreAcceptedFromTheTargetAndInTheOrderOfItsStarts)
 {
 	for (auto &c : heartbeats) {
 		SCOPED_TRACE(c.name);
@@ -820,6 +833,9 @@
 		relay_agent &agent = fleet.add_agent("a", "desk", "dc-a");
 		flw_heartbeat message = fleet.make_heartbeat(agent);
 
+		agent.core->desc.heartbeat_ms = 1000;
+		agent.core->desc.target_port = 80;
+		message.port = 80;
 		snprintf(message.id, sizeof(message.id), "t");
 		message.seq = 7;
 		ASSERT_EQ(flw_on_heartbeat(agent.core.get(), &message, 1,
@@ -831,8 +847,9 @@
 		message.started_ms = c.started_ms;
 		message.seq = c.seq;
 		message.leaving = 1;
-		EXPECT_EQ(flw_on_heartbeat(agent.core.get(), &message, 2,
-					   nullptr),
+		message.port = c.port ? c.port : 80;
+		EXPECT_EQ(flw_on_heartbeat(agent.core.get(), &message,
+					   2 + c.silent_ms * 1000, nullptr),
 			  c.wanted);
 		EXPECT_EQ(agent.core->target.last.leaving,
 			  c.wanted == JJ_OK ? 1 : 0);
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -343,6 +343,129 @@
 	}
 }
 
+/* A field of a heartbeat; null: the field is left out. */
+struct field_case {
+	const char *name;
+	const char *value;
+};
+
+static std::string heartbeat_with(const field_case &c)
+{
+	static const field_case good[] = {
+		{ "service", "\"desk\"" },
+		{ "address", "\"10.0.0.9:80\"" },
+		{ "zone", "\"a\"" },
+		{ "version", "\"v1\"" },
+		{ "slots", "8" },
+		{ "state", "\"ready\"" },
+		{ "warmupLeftMs", "120" },
+		{ "seq", "4" },
+		{ "born", "1700000000000" },
+	};
+	std::string text;
+
+	for (auto &field : good) {
+		bool replaced = !strcmp(field.name, c.name);
+		const char *value = replaced ? c.value : field.value;
+
+		if (value)
+			text += std::string(text.empty() ? "{\"" : ",\"") +
+				field.name + "\":" + value;
+	}
+	return text + "}";
+}
+
+static jj_status parse_heartbeat_body(const std::string &body, pf_request *call)
+{
+	hts_request request = {};
+
+	request.method = EVHTTP_REQ_PUT;
+	request.path = "/instances/i-1";
+	request.body = body.c_str();
+	request.len = body.size();
+	return pf_parse_request(&request, call, nullptr);
+}
+
+static const field_case odd_fields[] = {
+	{ "service", nullptr },
+	{ "service", "7" },
+	{ "service", "\"\"" },
+	{ "address", nullptr },
+	{ "address", "80" },
+	{ "address", "\"10.0.0.9\"" },
+	{ "address", "\"10.0.0.9:0\"" },
+	{ "address", "\"10.0.0.9:65536\"" },
+	{ "address", "\"10.0.0.9:4294967376\"" },
+	{ "address", "\"10.0.0.9: 80\"" },
+	{ "address", "\"10.0.0.9:+80\"" },
+	{ "address", "\"host:80\"" },
+	{ "zone", nullptr },
+	{ "zone", "[\"a\"]" },
+	{ "zone", "\"\"" },
+	{ "version", nullptr },
+	{ "version", "1" },
+	{ "slots", nullptr },
+	{ "slots", "\"8\"" },
+	{ "slots", "0" },
+	{ "slots", "100001" },
+	{ "slots", "4294967304" },
+	{ "slots", "1e300" },
+	{ "state", nullptr },
+	{ "state", "\"odd\"" },
+	{ "state", "{\"ready\":1}" },
+	{ "warmupLeftMs", nullptr },
+	{ "warmupLeftMs", "\"120\"" },
+	{ "warmupLeftMs", "-1" },
+	{ "seq", nullptr },
+	{ "seq", "4.5" },
+	{ "seq", "-1" },
+	{ "seq", "9223372036854775808" },
+	{ "born", "null" },
+	{ "born", "0" },
+	{ "born", "-1" },
+	{ "born", "1700000000000.5" },
+	{ "born", "9223372036854775808" },
+};
+
+/*
+ * Guards against a record of another writer that is taken as the target's: one
+ * odd field makes the whole heartbeat invalid.
+ */
+TEST(Request, AHeartbeatWithOneOddFieldIsRejected)
+{
+	pf_request call;
+
+	ASSERT_EQ(parse_heartbeat_body(heartbeat_with({ "", "" }), &call),
+		  JJ_OK);
+	EXPECT_EQ(call.heartbeat.ip, 0x0a000009u);
+	EXPECT_EQ(call.heartbeat.port, 80);
+	EXPECT_EQ(call.heartbeat.started_ms, 1700000000000u);
+	/* Some platforms do not give it. */
+	EXPECT_EQ(parse_heartbeat_body(heartbeat_with({ "born", nullptr }),
+				       &call),
+		  JJ_OK);
+	for (auto &c : odd_fields)
+		EXPECT_EQ(parse_heartbeat_body(heartbeat_with(c), &call),
+			  JJ_INVALID)
+			<< c.name << " " << (c.value ? c.value : "left out");
+}
+
+/* Guards against a decoder that runs out of stack. */
+TEST(Request, ADeeplyNestedHeartbeatIsRejected)
+{
+	pf_request call;
+
+	for (size_t depth : { 10000, 1000000 }) {
+		std::string nested(depth, '[');
+
+		EXPECT_EQ(parse_heartbeat_body(nested, &call), JJ_INVALID);
+		EXPECT_EQ(parse_heartbeat_body(
+				  heartbeat_with({ "zone", nested.c_str() }),
+				  &call),
+			  JJ_INVALID);
+	}
+}
+
 RC_GTEST_PROP(Request, RandomBytesAreRejected, (std::vector<char> noise))
 {
 	hts_request request = {};
--- a/tests/relay.sh
+++ b/tests/relay.sh
@@ -243,6 +243,11 @@
 	code=$(curl -s --noproxy '*' -o "$dir/out" -w '%{http_code}' -X PUT \
 		"http://127.$net.2.1:8166/instances/i-9" -d '{"state":"odd"}')
 	[ "$code" = 400 ] || fail "a bad heartbeat got $code"
+	code=$(curl -s --noproxy '*' -o "$dir/out" -w '%{http_code}' -X PUT \
+		"http://127.$net.2.1:8166/instances/x-other" \
+		-d '{"service":"desk","zone":"zone-1","version":"v1","slots":8,
+		"state":"ready","warmupLeftMs":0,"seq":5}')
+	[ "$code" = 400 ] || fail "a heartbeat without an address got $code"
 	operator POST op/config 'no configuration'
 	check_load 0
 	grep -q "JJ507" "$dir/agent-1.log" || fail "bad heartbeat not logged"
