Reject heartbeats with numbers out of range, and outlast odd ones

One odd heartbeat with the target's own address could do lasting harm: a start in the future reset all flows of the running target, as if it had been replaced, and then every heartbeat of the target counted as older; a large seq did the same for its start; a large warmupLeftMs made it cold for 49 days.

Cause: the order of heartbeats was taken as proof whatever the numbers were, and for good.

--- a/include/jujube/flow.h
+++ b/include/jujube/flow.h
@@ -445,6 +445,7 @@
 	uint32_t ip; /* address that the target serves */
 	uint16_t port;
 	uint64_t started_ms; /* start time of the target, 0: not given */
+	uint64_t received_ms; /* wall clock at the arrival, 0: not known */
 	uint64_t seq; /* increases while the target runs */
 	uint32_t slots;
 	uint32_t cold_ms; /* time for which the target stays cold */
@@ -591,8 +592,9 @@
 
 /*
  * Handles a heartbeat of the target. Changes nothing and returns JJ_INVALID if
- * it is of another service or address, or leaves out its start though the
- * running target gives one; JJ_STALE if it is older than the last one.
+ * it is of another service or address, starts in the future, or leaves out its
+ * start though the running target gives one; JJ_STALE if it is older than the
+ * last one of a running target.
  */
 enum jj_status flw_on_heartbeat(struct flw *flw,
 				const struct flw_heartbeat *heartbeat,
--- a/src/bin/relay_daemon.c
+++ b/src/bin/relay_daemon.c
@@ -1,6 +1,7 @@
 #include "relay_daemon.h"
 
 #include <stdlib.h>
+#include "net.h"
 
 /* -- HTTP requests ------------------------------------------------------- */
 
@@ -81,6 +82,7 @@
 	struct jj_error err = { 0 };
 	enum jj_status status = pf_parse_request(request, &parsed, &err);
 
+	parsed.heartbeat.received_ms = net_wall_ms();
 	if (status == JJ_INVALID)
 		log_put(&rld->nod->desc.log->sink, EV_HEARTBEAT_REJECTED, "%s",
 			err.message);
--- a/src/core/flow_target.c
+++ b/src/core/flow_target.c
@@ -19,6 +19,8 @@
  */
 #define STARTUP_HEARTBEATS 2
 #define FIRST_HEARTBEAT_SEQ 1 /* number of a target's first heartbeat */
+/* A start that is later by more has not happened; clocks step by seconds. */
+#define CLOCK_STEP_MAX_MS 3600000
 
 /* -- heartbeats ---------------------------------------------------------- */
 
@@ -62,19 +64,29 @@
 			       "target %s does not have the address that this "
 			       "agent serves",
 			       heartbeat->id);
+	if (heartbeat->received_ms &&
+	    heartbeat->started_ms > heartbeat->received_ms + CLOCK_STEP_MAX_MS)
+		return st_fail(err, JJ_INVALID,
+			       "target %s: start %llu is in the future",
+			       heartbeat->id,
+			       (unsigned long long)heartbeat->started_ms);
 	return JJ_OK;
 }
 
-/* Whether the heartbeat may replace the last one. Target lock held. */
+/*
+ * Whether the heartbeat may replace the last one. Once that is silent, any
+ * heartbeat of the target may: a record that another writer left would else
+ * keep the target out for good. Target lock held.
+ */
 static enum jj_status check_order(const struct flw *flw,
 				  const struct flw_heartbeat *heartbeat,
 				  uint64_t now, struct jj_error *err)
 {
 	const struct flw_heartbeat *held = &flw->target.last;
 
-	if (!*held->id)
+	if (!*held->id || is_silent(flw, now))
 		return JJ_OK;
-	if (held->started_ms && !heartbeat->started_ms && !is_silent(flw, now))
+	if (held->started_ms && !heartbeat->started_ms)
 		return st_fail(err, JJ_INVALID,
 			       "target %s gives no start, unlike target %s, "
 			       "which is running",
--- a/tests/flow_test.cc
+++ b/tests/flow_test.cc
@@ -819,11 +819,15 @@
 	{ "another target without its start", "u", 0, 9, "desk", JJ_INVALID },
 	{ "the only one, without its start", "u", 0, 9, "desk", JJ_OK, 0,
 	  3001 },
+	{ "the only one, with a lower number", "t", 100, 6, "desk", JJ_OK, 0,
+	  3001 },
+	{ "started in an hour", "t", 3600101, 1, "desk", JJ_INVALID },
 };
 
 /*
  * Guards against a record of another writer that replaces the target's, and so
- * ends its drain or its cold start.
+ * ends its drain or its cold start, and against one that keeps the target's own
+ * heartbeats from ever being accepted again.
  */
 TEST(Heartbeats, AreAcceptedFromTheTargetAndInTheOrderOfItsStarts)
 {
@@ -836,6 +840,7 @@
 		agent.core->desc.heartbeat_ms = 1000;
 		agent.core->desc.target_port = 80;
 		message.port = 80;
+		message.received_ms = 100;
 		snprintf(message.id, sizeof(message.id), "t");
 		message.seq = 7;
 		ASSERT_EQ(flw_on_heartbeat(agent.core.get(), &message, 1,
--- a/tests/lost_test.cc
+++ b/tests/lost_test.cc
@@ -58,6 +58,7 @@
 		flw_heartbeat message = make_heartbeat(a);
 
 		message.started_ms = started_ms;
+		message.received_ms = now / 1000;
 		message.seq = seq;
 		if (id)
 			snprintf(message.id, sizeof(message.id), "%s", id);
@@ -435,6 +436,8 @@
 		{ "start given later", 0, 200, "t-agent-0", 4, false, false },
 		{ "another target", 100, 200, "t-agent-9", 1, false, false },
 		{ "late heartbeat", 100, 200, "t-agent-0", 1, true, true },
+		/* An odd record, not a start. */
+		{ "in two hours", 100, 7200000, "t-agent-0", 1, false, false },
 	};
 
 	for (const auto &c : cases) {
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -416,14 +416,18 @@
 	{ "warmupLeftMs", nullptr },
 	{ "warmupLeftMs", "\"120\"" },
 	{ "warmupLeftMs", "-1" },
+	{ "warmupLeftMs", "3600001" },
+	{ "warmupLeftMs", "1e300" },
 	{ "seq", nullptr },
 	{ "seq", "4.5" },
 	{ "seq", "-1" },
+	{ "seq", "4294967296" },
 	{ "seq", "9223372036854775808" },
 	{ "born", "null" },
 	{ "born", "0" },
 	{ "born", "-1" },
 	{ "born", "1700000000000.5" },
+	{ "born", "253402300800000" },
 	{ "born", "9223372036854775808" },
 };
 
