Check member records of every source before they are merged

A member entry that another writer left in the store could name a port beyond 65,535, which wrapped to another one; no address or role; or, under the name of a process that starts, the largest incarnation, after which it took 0.

Cause: ranges of numbers were not checked, and an own entry was used before any check.

Change: mbr_check_record() for messages, state transfers and store entries; what fails is logged (JJ323) and not used.

--- a/bench/bench_decide.c
+++ b/bench/bench_decide.c
@@ -44,6 +44,8 @@
 		member.incarnation = 1;
 		member.version = 1;
 		member.ip = 0x7f000001;
+		member.control_port = 1;
+		member.data_port = 2;
 		member.phase = JJ__PHASE__PHASE_WARM;
 		mbr_merge(mbr, 0, &list, 1);
 	}
--- a/include/jujube/member.h
+++ b/include/jujube/member.h
@@ -30,6 +30,8 @@
 #include "jujube.pb-c.h"
 
 #define MBR_NAME_MAX 64
+/* Incarnations are times in ms: the last one of the year 9999. */
+#define MBR_INCARNATION_MAX 253402300799999
 #define MBR_CAPACITY 16384 /* default member limit */
 #define MBR_UPDATES_MAX 8 /* member records per message */
 #define MBR_SEEDS_MAX 64
@@ -176,6 +178,13 @@
 void mbr_message(struct mbr *mbr, uint64_t now, uint32_t ip, uint16_t port,
 		 const Jj__Envelope *env);
 
+/*
+ * Checks a record of any source: a message, a state transfer, or an entry of
+ * the store, which others may write, too. JJ_INVALID: a field is missing or out
+ * of range; such records are not merged.
+ */
+enum jj_status mbr_check_record(const Jj__Member *record, struct jj_error *err);
+
 /*
  * Merges the member records of a state transfer. They are not gossiped
  * further, since the sender has done so.
--- a/src/core/member.c
+++ b/src/core/member.c
@@ -206,16 +206,51 @@
 	return NULL;
 }
 
-static int is_valid_update(const Jj__Member *update)
+static int is_name(const char *text)
+{
+	return *text && strlen(text) < MBR_NAME_MAX;
+}
+
+/* The first field that is missing or out of range, or null. */
+static const char *find_odd_field(const Jj__Member *record)
+{
+	int agent = record->role == JJ__ROLE__ROLE_AGENT;
+
+	if (!is_name(record->name))
+		return "name";
+	if (record->id != rnk_name_id(record->name))
+		return "id";
+	if (!agent && record->role != JJ__ROLE__ROLE_BALANCER)
+		return "role";
+	if (strlen(record->data_centre) >= MBR_NAME_MAX)
+		return "data_centre";
+	if (agent ? !is_name(record->service) :
+		    strlen(record->service) >= MBR_NAME_MAX)
+		return "service";
+	if (strlen(record->target) >= MBR_NAME_MAX)
+		return "target";
+	if (!record->ip)
+		return "ip";
+	if (!record->control_port || record->control_port > UINT16_MAX)
+		return "control_port";
+	if (!record->data_port || record->data_port > UINT16_MAX)
+		return "data_port";
+	if (!record->incarnation || record->incarnation > MBR_INCARNATION_MAX)
+		return "incarnation";
+	if ((unsigned)record->liveness > JJ__LIVENESS__LIVE_LEFT)
+		return "liveness";
+	if ((unsigned)record->phase > JJ__PHASE__PHASE_DOWN)
+		return "phase";
+	return NULL;
+}
+
+enum jj_status mbr_check_record(const Jj__Member *record, struct jj_error *err)
 {
-	return update->id && *update->name &&
-	       strlen(update->name) < MBR_NAME_MAX &&
-	       strlen(update->data_centre) < MBR_NAME_MAX &&
-	       strlen(update->service) < MBR_NAME_MAX &&
-	       strlen(update->target) < MBR_NAME_MAX &&
-	       update->id == rnk_name_id(update->name) &&
-	       (unsigned)update->liveness <= JJ__LIVENESS__LIVE_LEFT &&
-	       (unsigned)update->phase <= JJ__PHASE__PHASE_DOWN;
+	const char *odd = find_odd_field(record);
+
+	return odd ? st_fail(err, JJ_INVALID, "%s is missing or out of range",
+			     odd) :
+		     JJ_OK;
 }
 
 static void copy_update(struct mbr_member *member, const Jj__Member *update)
@@ -314,7 +349,7 @@
 	struct mbr_member before;
 	struct mbr_member *held;
 
-	if (!is_valid_update(update))
+	if (mbr_check_record(update, NULL) != JJ_OK)
 		return;
 	if (update->id == mbr_self(mbr)->id) {
 		refute(mbr, update);
--- a/src/io/registry.c
+++ b/src/io/registry.c
@@ -147,11 +147,15 @@
 static Jj__Member *unpack_member(struct reg *reg, const struct reg_item *item)
 {
 	Jj__Member *member = jj__member__unpack(NULL, item->len, item->value);
+	struct jj_error err = { .message = "not a member record" };
 
-	if (!member)
-		log_put(reg->desc.log, EV_ITEM_INVALID,
-			"key=%s reason=not a member record", item->key);
-	return member;
+	if (member && mbr_check_record(member, &err) == JJ_OK)
+		return member;
+	log_put(reg->desc.log, EV_ITEM_INVALID, "key=%s reason=%s", item->key,
+		err.message);
+	if (member)
+		jj__member__free_unpacked(member, NULL);
+	return NULL;
 }
 
 static enum reg_status register_process(struct reg *reg)
--- a/tests/fuzz_test.cc
+++ b/tests/fuzz_test.cc
@@ -245,6 +245,10 @@
 	jj__member__init(&member);
 	member.id = rnk_name_id(name);
 	member.name = name;
+	member.role = JJ__ROLE__ROLE_BALANCER;
+	member.ip = 0x7f000001;
+	member.control_port = 1;
+	member.data_port = 2;
 	member.incarnation = 5;
 	env.sender = member.id;
 	env.body_case = JJ__ENVELOPE__BODY_PING;
--- a/tests/member_test.cc
+++ b/tests/member_test.cc
@@ -268,3 +268,68 @@
 		    &env);
 	EXPECT_EQ(mbr_confirmed(&node.mbr), before);
 }
+
+struct record_case {
+	const char *name;
+	void (*change)(Jj__Member &record);
+};
+
+static char long_name[MBR_NAME_MAX + 1];
+
+static const record_case odd_records[] = {
+	{ "no name", [](Jj__Member &r) { r.name = long_name + MBR_NAME_MAX; } },
+	{ "id of another name", [](Jj__Member &r) { r.id++; } },
+	{ "no role", [](Jj__Member &r) { r.role = JJ__ROLE__ROLE_NONE; } },
+	{ "unknown role", [](Jj__Member &r) { r.role = (Jj__Role)77; } },
+	{ "long data centre",
+	  [](Jj__Member &r) { r.data_centre = long_name; } },
+	{ "agent without a service",
+	  [](Jj__Member &r) { r.service = long_name + MBR_NAME_MAX; } },
+	{ "long service", [](Jj__Member &r) { r.service = long_name; } },
+	{ "long target", [](Jj__Member &r) { r.target = long_name; } },
+	{ "no address", [](Jj__Member &r) { r.ip = 0; } },
+	{ "no control port", [](Jj__Member &r) { r.control_port = 0; } },
+	{ "control port", [](Jj__Member &r) { r.control_port = 65537; } },
+	{ "no data port", [](Jj__Member &r) { r.data_port = 0; } },
+	{ "data port", [](Jj__Member &r) { r.data_port = UINT32_MAX; } },
+	{ "no incarnation", [](Jj__Member &r) { r.incarnation = 0; } },
+	{ "large incarnation",
+	  [](Jj__Member &r) { r.incarnation = UINT64_MAX; } },
+	{ "unknown liveness",
+	  [](Jj__Member &r) { r.liveness = (Jj__Liveness)4; } },
+	{ "unknown phase", [](Jj__Member &r) { r.phase = (Jj__Phase)-1; } },
+};
+
+/*
+ * Guards against an entry of the store that another writer left: a port beyond
+ * the range named another port, and a process that found its own name with the
+ * largest incarnation took 0 as its next.
+ */
+TEST(Member, OddRecordsAreNotMerged)
+{
+	memset(long_name, 'x', MBR_NAME_MAX);
+	for (auto &c : odd_records) {
+		SCOPED_TRACE(c.name);
+		fake_fleet fleet(1);
+		Jj__Member record = JJ__MEMBER__INIT;
+		Jj__Member *list = &record;
+		char name[] = "agent-1";
+		char service[] = "desk";
+		add_balancers(fleet, 1);
+		struct mbr *mbr = &fleet.nodes[0]->mbr;
+
+		record.name = name;
+		record.id = rnk_name_id(name);
+		record.role = JJ__ROLE__ROLE_AGENT;
+		record.service = service;
+		record.ip = 0x7f000001;
+		record.control_port = 1;
+		record.data_port = 65535;
+		record.incarnation = 1700000000000;
+		EXPECT_EQ(mbr_check_record(&record, nullptr), JJ_OK);
+		c.change(record);
+		EXPECT_EQ(mbr_check_record(&record, nullptr), JJ_INVALID);
+		mbr_merge(mbr, fleet.now_ms(), &list, 1);
+		EXPECT_EQ(mbr->count, 1u);
+	}
+}
--- a/tests/relay_fake.h
+++ b/tests/relay_fake.h
@@ -277,6 +277,7 @@
 		msg.service = (char *)service.c_str();
 		msg.data_centre = (char *)centre.c_str();
 		msg.ip = ip_of(name);
+		msg.control_port = 1;
 		msg.data_port = 1;
 		msg.incarnation = 1;
 		msg.version = held ? held->version + 1 : 1;
