Reject tables with texts that do not fit or a revision out of range

A row whose name has 64 characters or more was cut and became another row; a table of the largest revision could not be followed by any edit.

Change: both make the table invalid as a whole, as other odd rows do.

Failed before: three of the ten messages of Table.OddMessages*.

--- a/include/jujube/table.h
+++ b/include/jujube/table.h
@@ -101,6 +101,7 @@
 
 /* As base_revision: apply the edit whatever the row's revision is. */
 #define TBL_ANY_REVISION UINT64_MAX
+#define TBL_REVISION_MAX INT64_MAX /* of a table; JSON has no larger integers */
 
 /* A new row, or new values for some fields of a row. */
 struct tbl_edit {
--- a/src/core/table_merge.c
+++ b/src/core/table_merge.c
@@ -205,6 +205,20 @@
 	return strcmp(row->change_id, held->change_id) > 0;
 }
 
+/* Texts that do not fit would be cut, and name another row or address. */
+static enum jj_status check_lengths(const Jj__Row *msg, struct jj_error *err)
+{
+	static const struct tbl_row row;
+
+	if (strlen(msg->name) < sizeof(row.name) &&
+	    strlen(msg->service) < sizeof(row.service) &&
+	    strlen(msg->address) < sizeof(row.address))
+		return JJ_OK;
+	return st_fail(err, JJ_INVALID,
+		       "%.63s: name, service or address is too long",
+		       msg->name);
+}
+
 /*
  * Checks all rows of a message. source_versions[i] becomes the version that
  * the table has of the source of row i.
@@ -217,7 +231,12 @@
 	struct tbl_row row;
 	size_t i;
 
+	if (msg->revision > TBL_REVISION_MAX)
+		return st_fail(err, JJ_INVALID, "revision %llu is too large",
+			       (unsigned long long)msg->revision);
 	for (i = 0; i < msg->n_rows; i++) {
+		if (check_lengths(msg->rows[i], err) != JJ_OK)
+			return JJ_INVALID;
 		row_from_msg(&row, msg->rows[i]);
 		if (tbl_check_row(&row, err) != JJ_OK)
 			return JJ_INVALID;
--- a/tests/table_test.cc
+++ b/tests/table_test.cc
@@ -219,6 +219,82 @@
 	}
 }
 
+struct message_case {
+	const char *name;
+	void (*change)(Jj__Table &table, Jj__Row &row);
+};
+
+/* 70 characters, 63 of which fit a name. */
+static char long_text[] = "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+			  "aaaaaaaaaaaaaaaaaa";
+
+static const message_case odd_messages[] = {
+	{ "long name", [](Jj__Table &, Jj__Row &r) { r.name = long_text; } },
+	{ "long service",
+	  [](Jj__Table &, Jj__Row &r) { r.service = long_text; } },
+	{ "long address",
+	  [](Jj__Table &, Jj__Row &r) {
+		  static char address[] =
+			  "127.0.0.1:80                                     x";
+
+		  r.address = address;
+	  } },
+	{ "port out of range",
+	  [](Jj__Table &, Jj__Row &r) {
+		  static char address[] = "127.0.0.1:4294967376";
+
+		  r.address = address;
+	  } },
+	{ "no name", [](Jj__Table &, Jj__Row &r) { r.name = &long_text[70]; } },
+	{ "unknown kind",
+	  [](Jj__Table &, Jj__Row &r) { r.kind = (Jj__Kind)99; } },
+	{ "unknown state",
+	  [](Jj__Table &, Jj__Row &r) { r.state = (Jj__RowState)-1; } },
+	{ "large weight",
+	  [](Jj__Table &, Jj__Row &r) { r.weight = 1u << 31; } },
+	{ "revision above the table's",
+	  [](Jj__Table &, Jj__Row &r) { r.revision = 10; } },
+	{ "largest revision",
+	  [](Jj__Table &t, Jj__Row &r) {
+		  t.revision = UINT64_MAX;
+		  r.revision = UINT64_MAX;
+	  } },
+};
+
+/*
+ * Guards against an odd record of the store or of a peer: a name that is too
+ * long was cut and became that of another row, and no change could follow the
+ * largest revision.
+ */
+TEST(Table, OddMessagesAreRejectedAndChangeNothing)
+{
+	for (auto &c : odd_messages) {
+		SCOPED_TRACE(c.name);
+		tbl tbl;
+		Jj__Table table = JJ__TABLE__INIT;
+		Jj__Row row = JJ__ROW__INIT;
+		Jj__Row *rows[] = { &row };
+		char name[] = "new";
+		char service[] = "s";
+		char address[] = "127.0.0.1:80";
+
+		ASSERT_TRUE(tbl_init(&tbl, 4));
+		table.revision = 9;
+		table.rows = rows;
+		table.n_rows = 1;
+		row.kind = JJ__KIND__KIND_ROUTE;
+		row.name = name;
+		row.service = service;
+		row.address = address;
+		row.revision = 9;
+		c.change(table, row);
+		EXPECT_EQ(tbl_merge(&tbl, &table, nullptr), JJ_INVALID);
+		EXPECT_EQ(tbl.count, 0u);
+		EXPECT_EQ(tbl.revision, 0u);
+		tbl_finish(&tbl);
+	}
+}
+
 TEST(Table, OlderTableIsRejected)
 {
 	test_table t;
