--- a/include/jujube/table.h
+++ b/include/jujube/table.h
@@ -33,6 +33,7 @@
 #define TBL_CHANGES_MAX 256 /* most recent accepted changes that are kept */
 #define TBL_WEIGHT_DEFAULT 100 /* percent */
 #define TBL_WEIGHT_MAX 10000
+#define TBL_MAX_FLOWS_MAX 10000000 /* largest max_flows */
 /* An hour: longer than any caller waits, and in microseconds within 32 bits. */
 #define TBL_TERM_MS_MAX 3600000 /* largest target latency and deadline */
 #define TBL_PRIORITY_MAX 255 /* lowest priority; it is kept in one byte */
--- a/src/core/table.c
+++ b/src/core/table.c
@@ -200,7 +200,7 @@
 		return st_fail(err, JJ_INVALID, "%s: weight %u is over %d",
 			       row->name, row->weight, TBL_WEIGHT_MAX);
 	if (row->slots > 100000 || row->cold_slots > 100000 ||
-	    row->max_flows > 10000000)
+	    row->max_flows > TBL_MAX_FLOWS_MAX)
 		return st_fail(err, JJ_INVALID,
 			       "%s: slots, cold_slots or max_flows: "
 			       "limit out of range",
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -195,10 +195,51 @@
 	  "\"host\":\"10.0.0.1\",\"prefix\":\"/99999/\","
 	  "\"service\":\"s\"}]}",
 	  JJ_OK, 0, 1 },
+	{ "port beyond 32 bits",
+	  "{\"services\":[],\"routes\":[{\"name\":\"a\","
+	  "\"host\":\"10.0.0.1\",\"prefix\":\"/4294967739/\","
+	  "\"service\":\"s\"}]}",
+	  JJ_OK, 0, 1 },
+	{ "port with a sign",
+	  "{\"services\":[],\"routes\":[{\"name\":\"a\","
+	  "\"host\":\"10.0.0.1\",\"prefix\":\"/+443/\","
+	  "\"service\":\"s\"}]}",
+	  JJ_OK, 0, 1 },
 	{ "service of another type", "{\"services\":[3],\"routes\":[]}", JJ_OK,
 	  0, 1 },
+	/* A limit that is odd is ignored; the service remains. */
+	{ "large limit",
+	  "{\"services\":[{\"name\":\"s\",\"maxConns\":1e300}],"
+	  "\"routes\":[]}",
+	  JJ_OK, 1, 1 },
+	{ "negative limits",
+	  "{\"services\":[{\"name\":\"s\",\"maxConns\":-1,"
+	  "\"warmupPerS\":-0.5}],\"routes\":[]}",
+	  JJ_OK, 1, 2 },
+	{ "limits of another type",
+	  "{\"services\":[{\"name\":\"s\",\"maxConns\":\"9\"},"
+	  "{\"name\":\"t\"}],\"routes\":[],"
+	  "\"limits\":{\"idleTimeoutMs\":{}}}",
+	  JJ_OK, 2, 2 },
+	{ "weight of another type",
+	  "{\"services\":[],\"routes\":[{\"name\":\"a\","
+	  "\"host\":\"10.0.0.1\",\"prefix\":\"/443/\",\"backends\":"
+	  "[{\"service\":\"s\",\"weight\":\"9\"},"
+	  "{\"service\":\"t\",\"weight\":9}]}]}",
+	  JJ_OK, 2, 1 },
 };
 
+/* Guards against a decoder that runs out of stack. */
+TEST(Config, DeepNestingIsRejected)
+{
+	std::string nested(1000000, '[');
+
+	EXPECT_EQ(decoded("op/config", nested).status, JJ_MALFORMED);
+	EXPECT_EQ(decoded("op/config", "{\"services\":[],\"routes\":" + nested)
+			  .status,
+		  JJ_MALFORMED);
+}
+
 TEST(Config, InvalidPartsAreRejectedOneByOne)
 {
 	for (auto &c : configs) {
