Read the table whatever flags another writer gave its entry

The platform's key-value service lets each writer set Flags to any unsigned 64-bit number. jansson rejects integers beyond 63 bits and with them the whole response, so that the table could not be read, nor changed, as a change reads it first.

Change: integers of that response are decoded as reals; the index must be at most 2^53, up to which reals are exact.

process_bad_input now makes a change while the entry has the largest flags.

--- a/src/io/kv.c
+++ b/src/io/kv.c
@@ -6,6 +6,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define INDEX_MAX 9007199254740992.0 /* 2^53 */
+
 enum jj_status kv_init(struct kv *kv, const char *url, uint32_t timeout_ms,
 		       struct met *met, const _Atomic int *stop)
 {
@@ -48,24 +50,29 @@
 
 /* -- reading ------------------------------------------------------------- */
 
+/*
+ * Decodes the entry of a key. Writers may set "Flags" to any unsigned 64-bit
+ * number, which jansson only reads as a real; indexes up to 2^53 stay exact.
+ */
 static enum edt_read decode(struct kv *kv, uint8_t **value, size_t *len,
 			    uint64_t *index)
 {
-	json_t *root =
-		json_loadb(kv->body ? kv->body : "", kv->body_len, 0, NULL);
+	json_t *root = json_loadb(kv->body ? kv->body : "", kv->body_len,
+				  JSON_DECODE_INT_AS_REAL, NULL);
 	json_t *entry = json_array_get(root, 0);
 	const char *text = json_string_value(json_object_get(entry, "Value"));
-	json_t *modified = json_object_get(entry, "ModifyIndex");
+	double modified =
+		json_real_value(json_object_get(entry, "ModifyIndex"));
 	enum edt_read result = EDT_READ_FAILED;
 
 	*value = NULL;
-	if (text && json_is_integer(modified)) {
+	if (text && modified >= 1 && modified <= INDEX_MAX) {
 		*value = malloc(strlen(text) + 1);
 		if (*value &&
 		    !sodium_base642bin(*value, strlen(text) + 1, text,
 				       strlen(text), NULL, len, NULL,
 				       sodium_base64_VARIANT_ORIGINAL)) {
-			*index = (uint64_t)json_integer_value(modified);
+			*index = (uint64_t)modified;
 			result = EDT_READ_VALUE;
 		}
 	}
--- a/tests/process.sh
+++ b/tests/process.sh
@@ -395,6 +395,11 @@
 	wait_for 5 grep -q '^counter control_in=' "$DIR/agent-1.log" ||
 		fail "no dump on SIGUSR1"
 	expect "revision after all that" "$(revision)" "$before"
+	# the entry of another writer, with a number beyond signed 64 bits
+	platform flags
+	jujube table set target target-1 weight=90 >"$DIR/bad.out" ||
+		fail "the table cannot be read: $(cat "$DIR/bad.out")"
+	platform up
 	test_still_serves
 }
 
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -10,6 +10,7 @@
  *   PUT /fault/late?ms=N   the next write is applied and answered N ms late
  *   PUT /fault/older       reads show the value before the last write
  *   PUT /fault/restore     the last write of each key is undone for good
+ *   PUT /fault/flags       entries have the flags of another writer: 2^64 - 1
  *   GET /stats             "reads N writes N watches N"
  *
  * usage: platform IP PORT
@@ -49,6 +50,7 @@
 static int replies_to_lose;
 static int late_ms;
 static int serve_previous;
+static unsigned long long flags;
 static unsigned long long reads, writes, watches;
 
 struct upload {
@@ -144,9 +146,9 @@
 	sodium_bin2base64(b64, room, (unsigned char *)value->bytes, value->len,
 			  sodium_base64_VARIANT_ORIGINAL);
 	sprintf(text,
-		"[{\"LockIndex\":0,\"Key\":\"%s\",\"Flags\":0,\"Value\":\"%s\","
-		"\"CreateIndex\":1,\"ModifyIndex\":%llu}]",
-		name, b64, value->index);
+		"[{\"LockIndex\":0,\"Key\":\"%s\",\"Flags\":%llu,"
+		"\"Value\":\"%s\",\"CreateIndex\":1,\"ModifyIndex\":%llu}]",
+		name, flags, b64, value->index);
 	result = reply(conn, MHD_HTTP_OK, text, value->index);
 	pthread_mutex_unlock(&lock);
 	free(text);
@@ -222,6 +224,7 @@
 		pthread_cond_broadcast(&changed);
 	} else if (!strcmp(name, "up")) {
 		down = slow_ms = replies_to_lose = late_ms = serve_previous = 0;
+		flags = 0;
 	} else if (!strcmp(name, "slow")) {
 		slow_ms = (int)number_arg(conn, "ms");
 	} else if (!strcmp(name, "lose")) {
@@ -230,6 +233,8 @@
 		late_ms = (int)number_arg(conn, "ms");
 	} else if (!strcmp(name, "older")) {
 		serve_previous = 1;
+	} else if (!strcmp(name, "flags")) {
+		flags = ~0ull;
 	} else if (!strcmp(name, "restore")) {
 		undo_last_writes();
 	}
