Read a target's state from whole words of its health report

Targets were taken as cold or leaving for their names (target=cold-1), targets of service desk-2 for those of desk, and a report without a state ended a drain.

Cause: the whole datagram was searched for parts of words, and a word that was absent counted as its opposite.

Change: module health parses the body into words; what a report does not say stays as it was.

Failed with the former rule: 7 of the 14 bodies of Health.ReportsSayOnly*.

--- a/include/jujube/coap_codec.h
+++ b/include/jujube/coap_codec.h
@@ -37,6 +37,7 @@
 	uint8_t more_blocks; /* M bit of Block2 */
 	uint8_t unsafe; /* POST, PUT, PATCH, iPATCH, DELETE */
 	uint32_t deadline_ms; /* query deadline_ms=N, 0: none */
+	uint16_t payload_len; /* the last bytes of the datagram */
 	uint64_t digest; /* of code, options except Echo, and payload */
 };
 
--- a/src/core/coap_codec.c
+++ b/src/core/coap_codec.c
@@ -106,8 +106,10 @@
 	if (coap_option_iterator_init(pdu, &iter, COAP_OPT_ALL))
 		while ((option = coap_option_next(&iter)))
 			parse_option(msg, iter.number, option);
-	if (coap_get_data(pdu, &len, &payload))
-		msg->digest = hash_field(msg->digest, UINT64_MAX, payload, len);
+	if (!coap_get_data(pdu, &len, &payload))
+		return;
+	msg->payload_len = (uint16_t)len;
+	msg->digest = hash_field(msg->digest, UINT64_MAX, payload, len);
 }
 
 enum jj_status cx_parse(const uint8_t *data, size_t len, struct cx_msg *msg)
--- a/src/io/sidecar_health.c
+++ b/src/io/sidecar_health.c
@@ -3,43 +3,38 @@
 
 #include <string.h>
 #include <sys/socket.h>
+#include "jujube/health.h"
 #include "net.h"
 
 #define NO_PEERS_MS 5000 /* no other live member for so long: there is none */
 #define CODE_CONTENT 0x45 /* CoAP 2.05 Content */
 #define MISSED_PROBES_MAX 4 /* missed health checks that mean "down" */
 
-static int contains(const uint8_t *data, size_t len, const char *word)
-{
-	return memmem(data, len, word, strlen(word)) != NULL;
-}
-
-/*
- * The body contains "cold" or "draining" when they apply, else "ok". It may
- * name the service by "service=NAME".
- */
 static void parse_health(struct sid *sid, const uint8_t *data, size_t len,
 			 uint64_t now)
 {
-	char expected[TBL_NAME_MAX + 16];
+	const char *service = sid->desc.agent.service;
+	struct hlt_report report;
 	struct cx_msg msg;
 
 	if (cx_parse(data, len, &msg) != JJ_OK || msg.code != CODE_CONTENT ||
 	    msg.mid != sid->health_mid)
 		return;
-	snprintf(expected, sizeof(expected), "service=%s",
-		 sid->desc.agent.service);
-	if (contains(data, len, "service=") && !contains(data, len, expected)) {
+	report = hlt_parse(data + len - msg.payload_len, msg.payload_len,
+			   service);
+	if (report.other_service) {
 		if (!sid->wrong_target)
 			log_put(&sid->nod->desc.log->sink, EV_WRONG_TARGET,
-				"expected %s", expected);
+				"expected service=%s", service);
 		sid->wrong_target = 1;
 		return;
 	}
 	sid->wrong_target = 0;
 	sid->health_answered_ms = now;
-	adm_set_reported_cold(&sid->agt.adm, contains(data, len, "cold"));
-	sid->target_draining = contains(data, len, "draining");
+	if (!report.has_state)
+		return;
+	adm_set_reported_cold(&sid->agt.adm, report.cold);
+	sid->target_draining = report.draining;
 }
 
 static void request_health(struct sid *sid, uint64_t now)
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -1,4 +1,4 @@
-/* Small modules: map, rank, frame, ledger, route, settings, speed, log. */
+/* Small modules: map, rank, frame, ledger, route, settings, speed, health, log. */
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
@@ -14,6 +14,7 @@
 
 extern "C" {
 #include "jujube/frame.h"
+#include "jujube/health.h"
 #include "jujube/ledger.h"
 #include "jujube/log.h"
 #include "jujube/map.h"
@@ -497,6 +498,53 @@
 
 /* -- events -------------------------------------------------------------- */
 
+/* -- health -------------------------------------------------------------- */
+
+struct health_case {
+	const char *body;
+	bool has_state;
+	bool cold;
+	bool draining;
+	bool other_service;
+};
+
+static const health_case health_bodies[] = {
+	{ "ok", true, false, false, false },
+	{ "ok service=desk target=t-1", true, false, false, false },
+	{ "cold", true, true, false, false },
+	{ "draining\r\nservice=desk", true, false, true, false },
+	{ "cold draining", true, true, true, false },
+	{ "ok service=vault", true, false, false, true },
+	{ "ok service=desk-2", true, false, false, true },
+	{ "ok service=", true, false, false, true },
+	/* A state is a word of its own. */
+	{ "ok service=desk target=cold-1", true, false, false, false },
+	{ "ok target=draining", true, false, false, false },
+	/* What is not said does not end a drain or a cold start. */
+	{ "", false, false, false, false },
+	{ "service=desk", false, false, false, false },
+	{ "okay", false, false, false, false },
+	{ "drain", false, false, false, false },
+};
+
+/*
+ * Guards against targets that were taken as cold or leaving for their names,
+ * as of this service for a longer name, and as ready for an incomplete report.
+ */
+TEST(Health, ReportsSayOnlyWhatTheirWordsSay)
+{
+	for (auto &c : health_bodies) {
+		SCOPED_TRACE(c.body);
+		hlt_report report = hlt_parse((const uint8_t *)c.body,
+					      strlen(c.body), "desk");
+
+		EXPECT_EQ(report.has_state, c.has_state);
+		EXPECT_EQ(report.cold, c.cold);
+		EXPECT_EQ(report.draining, c.draining);
+		EXPECT_EQ(report.other_service, c.other_service);
+	}
+}
+
 TEST(Events, CatalogueAndCodeAgree)
 {
 	std::ifstream in(SOURCE_DIR "/docs/EVENTS.md");
