Do not let a large deadline of a request wrap

Change: digits only; larger numbers are the largest one, which the agent's own limit caps.

Failed before: six of the eleven rows of Codec.Deadlines*.

--- a/src/core/coap_codec.c
+++ b/src/core/coap_codec.c
@@ -1,7 +1,6 @@
 #include "jujube/coap_codec.h"
 
 #include <coap3/coap.h>
-#include <stdlib.h>
 #include <string.h>
 #include "jujube/rank.h"
 
@@ -25,20 +24,25 @@
 	msg->more_blocks = value >> 3 & 1;
 }
 
+/* Sets the deadline of a query deadline_ms=N; one that is not a number is none. */
 static void parse_deadline(struct cx_msg *msg, const coap_opt_t *option)
 {
 	static const char name[] = "deadline_ms=";
+	const uint8_t *text = coap_opt_value(option);
 	size_t len = coap_opt_length(option);
-	char text[16];
+	uint64_t number = 0;
+	size_t i;
 
-	if (len <= sizeof(name) - 1 ||
-	    len - (sizeof(name) - 1) >= sizeof(text) ||
-	    memcmp(coap_opt_value(option), name, sizeof(name) - 1) != 0)
+	if (len < sizeof(name) - 1 || memcmp(text, name, sizeof(name) - 1) != 0)
 		return;
-	len -= sizeof(name) - 1;
-	memcpy(text, coap_opt_value(option) + sizeof(name) - 1, len);
-	text[len] = '\0';
-	msg->deadline_ms = (uint32_t)strtoul(text, NULL, 10);
+	for (i = sizeof(name) - 1; i < len; i++) {
+		if (text[i] < '0' || text[i] > '9')
+			return;
+		number = number * 10 + (uint64_t)(text[i] - '0');
+		if (number > UINT32_MAX)
+			number = UINT32_MAX;
+	}
+	msg->deadline_ms = (uint32_t)number;
 }
 
 static uint64_t hash_field(uint64_t digest, uint64_t tag, const uint8_t *data,
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -498,6 +498,40 @@
 
 /* -- events -------------------------------------------------------------- */
 
+/* -- deadlines in requests ----------------------------------------------- */
+
+static const struct {
+	const char *query;
+	uint32_t deadline_ms; /* 0: none */
+} deadlines[] = {
+	{ "deadline_ms=250", 250 },
+	{ "deadline_ms=4294967295", 4294967295u },
+	{ "deadline_ms=4294967297", 4294967295u },
+	{ "deadline_ms=999999999999999999999999", 4294967295u },
+	{ "deadline_ms=", 0 },
+	{ "deadline_ms=-1", 0 },
+	{ "deadline_ms=+5", 0 },
+	{ "deadline_ms=5x", 0 },
+	{ "deadline_ms= 5", 0 },
+	{ "deadline_ms=0", 0 },
+	{ "deadline=5", 0 },
+};
+
+/* Guards against a deadline so large that it wrapped to one that has passed. */
+TEST(Codec, DeadlinesAreDigitsAndDoNotWrap)
+{
+	for (auto &c : deadlines) {
+		SCOPED_TRACE(c.query);
+		coap_bytes bytes(CX_CON, 1 /* GET */, 7, "t");
+		cx_msg msg;
+
+		bytes.option(15 /* Uri-Query */, c.query);
+		ASSERT_EQ(cx_parse(bytes.data.data(), bytes.data.size(), &msg),
+			  JJ_OK);
+		EXPECT_EQ(msg.deadline_ms, c.deadline_ms);
+	}
+}
+
 /* -- health -------------------------------------------------------------- */
 
 struct health_case {
