--- a/tests/fuzz_test.cc
+++ b/tests/fuzz_test.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <random>
 
+#include "relay_fake.h"
 #include "test_helpers.h"
 
 extern "C" {
@@ -17,37 +18,6 @@
 
 static const int ITERATIONS = 20000;
 
-/*
- * Applies one to six random changes: replaces, cuts, inserts or repeats bytes.
- */
-static std::string mutate(std::string bytes, std::mt19937 &rng)
-{
-	for (unsigned i = 0; i < 1 + rng() % 6; i++) {
-		size_t at = bytes.empty() ? 0 : rng() % bytes.size();
-
-		switch (rng() % 5) {
-		case 0:
-			if (!bytes.empty())
-				bytes[at] = (char)rng();
-			break;
-		case 1:
-			bytes.resize(at);
-			break;
-		case 2:
-			bytes.insert(at, std::string(rng() % 40, (char)rng()));
-			break;
-		case 3:
-			bytes += bytes.substr(at, 64);
-			break;
-		case 4:
-			if (!bytes.empty())
-				bytes[at] ^= (char)(1 << rng() % 8);
-			break;
-		}
-	}
-	return bytes;
-}
-
 static std::string sample_packet()
 {
 	coap_bytes bytes(CX_CON, COAP_POST, 7, "token");
@@ -272,3 +242,107 @@
 	EXPECT_EQ(mbr.members[0].liveness, JJ__LIVENESS__LIVE_ALIVE);
 	mbr_finish(&mbr);
 }
+
+/* One message of each kind that relaying agents receive. */
+static std::vector<std::string> sample_flow_messages(uint64_t flow,
+						     uint64_t holder)
+{
+	std::vector<std::string> out;
+	Jj__Envelope env = JJ__ENVELOPE__INIT;
+	Jj__Holding item = JJ__HOLDING__INIT;
+	Jj__Holding *items[] = { &item };
+	Jj__Holdings holdings = JJ__HOLDINGS__INIT;
+	Jj__Inquiry inquiry = JJ__INQUIRY__INIT;
+	Jj__InquiryReply reply = JJ__INQUIRY_REPLY__INIT;
+	Jj__Load load = JJ__LOAD__INIT;
+	Jj__DataCentreLoad centre = JJ__DATA_CENTRE_LOAD__INIT;
+	Jj__Packet packet = JJ__PACKET__INIT;
+	fake_packet data = {};
+	auto add = [&](Jj__Envelope__BodyCase body) {
+		env.body_case = body;
+		out.emplace_back(jj__envelope__get_packed_size(&env), 0);
+		jj__envelope__pack(&env, (uint8_t *)out.back().data());
+	};
+
+	item.flow = flow;
+	item.holder = holder;
+	holdings.items = reply.held = items;
+	holdings.n_items = reply.n_held = 1;
+	env.holdings = &holdings;
+	add(JJ__ENVELOPE__BODY_HOLDINGS);
+	inquiry.ip = 0x7f000001;
+	inquiry.port = 1;
+	inquiry.flows = &flow;
+	inquiry.n_flows = 1;
+	env.inquiry = &inquiry;
+	add(JJ__ENVELOPE__BODY_INQUIRY);
+	reply.not_held = reply.unknown = &flow;
+	reply.n_not_held = reply.n_unknown = 1;
+	env.inquiry_reply = &reply;
+	add(JJ__ENVELOPE__BODY_INQUIRY_REPLY);
+	load.in_flight = load.queued = load.cap = load.median_us = 3;
+	centre.id = rnk_name_id("dc-b");
+	centre.slots = centre.free_slots = centre.median_us = 3;
+	load.data_centre = &centre;
+	env.load = &load;
+	add(JJ__ENVELOPE__BODY_LOAD);
+	packet.service = rnk_name_id("desk");
+	packet.flow = flow;
+	packet.via_id = holder;
+	packet.data.data = (uint8_t *)&data;
+	packet.data.len = sizeof(data);
+	packet.tried = &holder;
+	packet.n_tried = 1;
+	env.packet = &packet;
+	add(JJ__ENVELOPE__BODY_PACKET);
+	return out;
+}
+
+static void deliver_envelope(relay_fleet &fleet, relay_agent &agent,
+			     const Jj__Envelope *env)
+{
+	flw_call call = fleet.call_of(agent);
+
+	if (env->body_case == JJ__ENVELOPE__BODY_HOLDINGS)
+		flw_on_holdings(&call, env->holdings);
+	else if (env->body_case == JJ__ENVELOPE__BODY_INQUIRY)
+		flw_on_inquiry(&call, env->inquiry);
+	else if (env->body_case == JJ__ENVELOPE__BODY_INQUIRY_REPLY)
+		flw_on_inquiry_reply(&call, env->sender, env->inquiry_reply);
+	else if (env->body_case == JJ__ENVELOPE__BODY_LOAD)
+		flw_on_load(&call, env->sender, env->load);
+	else if (env->body_case == JJ__ENVELOPE__BODY_PACKET)
+		flw_from_caller(&call, env->packet);
+}
+
+/* Messages with a valid tag, as from a faulty agent or balancer. */
+TEST(Fuzz, FlowMessages)
+{
+	std::mt19937 rng(8);
+	single_service_fleet fleet(8, 4);
+	auto keys = fleet.open(4);
+	auto valid =
+		sample_flow_messages(keys[0], fleet.agents[1]->core->desc.id);
+	int decoded = 0;
+
+	for (int i = 0; i < ITERATIONS; i++) {
+		std::string bytes = mutate(valid[rng() % valid.size()], rng);
+		Jj__Envelope *env = jj__envelope__unpack(
+			nullptr, bytes.size(), (const uint8_t *)bytes.data());
+
+		if (!env)
+			continue;
+		decoded++;
+		deliver_envelope(fleet, *fleet.agents[rng() % 4], env);
+		jj__envelope__free_unpacked(env, nullptr);
+		if (i % 200 == 0)
+			fleet.run(20000);
+	}
+	EXPECT_GT(decoded, ITERATIONS / 100);
+	fleet.run(3000000);
+	for (auto key : keys) {
+		fleet.request(key, 0);
+		fleet.run(100000);
+		EXPECT_EQ(fleet.callers[key].answers, 2);
+	}
+}
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -7,10 +7,14 @@
 #include <string>
 #include <vector>
 
+#include "test_helpers.h"
+
 extern "C" {
 #include "platform.h"
 }
 
+static const int MUTATIONS = 20000;
+
 /* -- packets ------------------------------------------------------------- */
 
 /* The examples in the platform's documentation. */
@@ -313,6 +317,22 @@
 	}
 }
 
+/* What is decoded is valid, whatever bytes an item holds. */
+TEST(Config, MutatedItemsGiveValidRowsOnly)
+{
+	std::mt19937 rng(1);
+	int decoded_rows = 0;
+
+	for (int i = 0; i < MUTATIONS; i++) {
+		decoded got("op/config", mutate(CONFIG, rng));
+
+		for (auto &row : got.rows)
+			ASSERT_EQ(tbl_check_row(&row, nullptr), JJ_OK);
+		decoded_rows += !got.rows.empty();
+	}
+	EXPECT_GT(decoded_rows, MUTATIONS / 100);
+}
+
 TEST(Config, AnEvacuationDrainsItsDataCentre)
 {
 	decoded got("op/evacuate/lisboa-a", "{}");
@@ -511,6 +531,29 @@
 	}
 }
 
+/* A heartbeat that is accepted is complete and in range. */
+TEST(Request, MutatedHeartbeatsAreCompleteOrRejected)
+{
+	std::mt19937 rng(2);
+	std::string good = heartbeat_with({ "", "" });
+	int accepted = 0;
+
+	for (int i = 0; i < MUTATIONS; i++) {
+		pf_request call;
+
+		if (parse_heartbeat_body(mutate(good, rng), &call) != JJ_OK)
+			continue;
+		accepted++;
+		ASSERT_NE(call.heartbeat.service[0], 0);
+		ASSERT_NE(call.heartbeat.port, 0);
+		ASSERT_GE(call.heartbeat.slots, 1u);
+		ASSERT_LE(call.heartbeat.slots, 100000u);
+		ASSERT_LE(call.heartbeat.cold_ms, 3600000u);
+		ASSERT_LE(call.heartbeat.seq, UINT32_MAX);
+	}
+	EXPECT_GT(accepted, MUTATIONS / 100);
+}
+
 RC_GTEST_PROP(Request, RandomBytesAreRejected, (std::vector<char> noise))
 {
 	hts_request request = {};
--- a/tests/test_helpers.h
+++ b/tests/test_helpers.h
@@ -3,6 +3,7 @@
 #define TESTS_TEST_HELPERS_H
 
 #include <cstdint>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -112,4 +113,35 @@
 	(void)tbl_apply(tbl, &edits, NULL);
 }
 
+/*
+ * Applies one to six random changes: replaces, cuts, inserts or repeats bytes.
+ */
+inline std::string mutate(std::string bytes, std::mt19937 &rng)
+{
+	for (unsigned i = 0; i < 1 + rng() % 6; i++) {
+		size_t at = bytes.empty() ? 0 : rng() % bytes.size();
+
+		switch (rng() % 5) {
+		case 0:
+			if (!bytes.empty())
+				bytes[at] = (char)rng();
+			break;
+		case 1:
+			bytes.resize(at);
+			break;
+		case 2:
+			bytes.insert(at, std::string(rng() % 40, (char)rng()));
+			break;
+		case 3:
+			bytes += bytes.substr(at, 64);
+			break;
+		case 4:
+			if (!bytes.empty())
+				bytes[at] ^= (char)(1 << rng() % 8);
+			break;
+		}
+	}
+	return bytes;
+}
+
 #endif
