Take only a later start as one that was followed

Cause: once the accepted heartbeat is silent, an older start may replace it; with number 1 it counted as a start that this agent saw, although the target's process is older.

Change: a start that is not later than the one heard before proves nothing.

Failed before: the row "not a later start" of Lost.ATargetThatStartsAfter*.

--- a/src/core/flow_target.c
+++ b/src/core/flow_target.c
@@ -117,9 +117,12 @@
 static enum flw_followed follow_new_start(const struct flw_target *target,
 					  const struct flw_heartbeat *heartbeat)
 {
-	if (heartbeat->seq > FIRST_HEARTBEAT_SEQ)
+	const struct flw_heartbeat *held = &target->last;
+
+	if (heartbeat->seq > FIRST_HEARTBEAT_SEQ ||
+	    heartbeat->started_ms < held->started_ms)
 		return FLW_NOT_FOLLOWED;
-	if (*target->last.id)
+	if (*held->id)
 		return FLW_FOLLOWED;
 	return target->absent ? FLW_FOLLOWED_IF_LISTENING : FLW_NOT_FOLLOWED;
 }
--- a/tests/lost_test.cc
+++ b/tests/lost_test.cc
@@ -663,6 +663,7 @@
 		uint64_t first_seq;
 		prb_result probed; /* after the first heartbeat */
 		bool followed;
+		uint64_t started_ms = 200;
 	} cases[] = {
 		{ "refused, then listens", true, false, 1, PRB_ACCEPTED, true },
 		{ "refused, never listens", true, false, 1, PRB_REFUSED,
@@ -673,6 +674,8 @@
 		{ "earlier start", false, true, 1, PRB_REFUSED, true },
 		{ "earlier start, heartbeats missed", false, true, 2,
 		  PRB_ACCEPTED, false },
+		{ "not a later start", false, true, 1, PRB_ACCEPTED, false,
+		  50 },
 	};
 
 	for (const auto &c : cases) {
@@ -685,9 +688,11 @@
 		fleet.start(agent);
 		if (c.refused)
 			flw_on_target_absent(agent.core.get());
-		if (c.earlier)
+		if (c.earlier) {
 			fleet.report(agent, 100, 7);
-		fleet.report(agent, 200, c.first_seq);
+			fleet.run(3100 * MS); /* it is silent */
+		}
+		fleet.report(agent, c.started_ms, c.first_seq);
 		flw_call call = fleet.call_of(agent);
 		flw_on_probe_result(&call, flw_begin_probe(&call), c.probed);
 		uint64_t key = fleet.add_caller(1);
