Keep hearing sound targets with unusual values

Targets of the CoAP agents would have been misread if their health report was not separated by spaces.

Cause: ranges meant for odd records were checked as part of the identity.

Change: heartbeats are rejected only for fields that are missing or of another type, an unknown state, another service or address. A start in the future is used, but is no proof about flows. Health reports are split at all bytes that no name has. A process does not raise its incarnation beyond the valid range.

--- a/include/jujube/flow.h
+++ b/include/jujube/flow.h
@@ -592,9 +592,9 @@
 
 /*
  * Handles a heartbeat of the target. Changes nothing and returns JJ_INVALID if
- * it is of another service or address, starts in the future, or leaves out its
- * start though the running target gives one; JJ_STALE if it is older than the
- * last one of a running target.
+ * it is of another service or address, or leaves out its start though the
+ * running target gives one; JJ_STALE if it is older than the last one of a
+ * running target.
  */
 enum jj_status flw_on_heartbeat(struct flw *flw,
 				const struct flw_heartbeat *heartbeat,
--- a/include/jujube/health.h
+++ b/include/jujube/health.h
@@ -1,9 +1,9 @@
 /*
  * health - what a target reports about itself
  *
- * The body of a target's answer to a health request is a list of words,
- * separated by spaces or line ends: "cold" and "draining" when they apply, else
- * "ok"; "service=NAME" may follow, and words that are not known here. A body
+ * The body of a target's answer to a health request contains the words "cold"
+ * and "draining" when they apply, else "ok", in any format: a word is a run of
+ * letters, digits and "-_.". "service=NAME" and "target=NAME" may follow. A body
  * without any of the three states says nothing about the target's state, which
  * then stays as it was reported last.
  */
--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -1,7 +1,7 @@
 #!/bin/bash
 # Mutation test: in a copy of the tree, disables each mechanism listed in
 # docs/PROOFS.md and expects the test that covers it to fail.
-# usage: prove.sh [NUMBER]
+# usage: prove.sh [NUMBER...]
 set -u
 copy=$(mktemp -d /tmp/jujube-prove.XXXXXX)
 trap 'rm -rf "$copy"' EXIT
@@ -33,7 +33,7 @@
 # mechanism NUMBER FILE SED TEST FILTER: disables a mechanism by applying SED
 # to FILE; the tests that FILTER selects in TEST_test must then fail
 mechanism() {
-	[ -z "${only:-}" ] || [ "$only" = "$1" ] || return 0
+	[ -z "$only" ] || [[ " $only " = *" $1 "* ]] || return 0
 	cp "$2" "$2.kept"
 	sed -i "$3" "$2"
 	if cmp -s "$2" "$2.kept"; then
@@ -51,7 +51,7 @@
 	touch "$2"
 }
 
-only=${1:-}
+only=$*
 core=src/core
 mechanism 1 $core/agent.c 's/if (!rx->call->agt->settled) {/if (0) {/' agent 'Flows.Survive*'
 mechanism 1 $core/agent_handover.c 's/^	import_echo_keys(call->agt, handover);/	return;/' agent 'Flows.Survive*'
@@ -102,12 +102,12 @@
 mechanism R78 platform/decode.c 's/"address", "zone",/"address",/' platform 'Request.AHeartbeatWith*'
 mechanism R79 $core/flow_target.c 's/^	if (heartbeat->ip != desc->target_ip ||$/	if (0 \&\&/; s/heartbeat->port != desc->target_port)/heartbeat->ip)/' flow 'Heartbeats.AreAccepted*'
 mechanism R81 $core/flow_target.c 's/if (!\*held->id || is_silent(flw, now))/if (!*held->id)/' flow 'Heartbeats.AreAccepted*'
-mechanism R82 $core/flow_target.c 's/^	if (heartbeat->received_ms \&\&$/	if (0 \&\&/' flow 'Heartbeats.AreAccepted*'
+mechanism R82 $core/flow_lost.c 's/return !heartbeat->received_ms ||/return 1 ||/' lost 'Lost.ALaterStart*:Lost.ATargetThatStartsAfter*'
 mechanism R80 $core/flow_target.c 's/held->started_ms \&\& !heartbeat->started_ms/0/' flow 'Heartbeats.AreAccepted*'
 mechanism R83 $core/member.c 's/ || record->control_port > UINT16_MAX//' member 'Member.OddRecords*'
 mechanism R83 $core/member.c 's/ || record->incarnation > MBR_INCARNATION_MAX//' member 'Member.OddRecords*'
 mechanism R84 $core/table_merge.c 's/^		if (check_lengths(msg->rows\[i\], err) != JJ_OK)/		if (0 \&\& check_lengths(msg->rows[i], err))/' table 'Table.OddMessages*'
-mechanism R85 $core/health.c 's/return len == strlen(text)/return len >= strlen(text)/' core 'Health.*'
+mechanism R85 $core/health.c 's/len == strlen(text) \&\& !memcmp(word, text, len)/len >= strlen(text) \&\& !memcmp(word, text, strlen(text))/' core 'Health.*'
 mechanism R86 $core/coap_codec.c 's/if (number > UINT32_MAX)/if (0)/' core 'Codec.Deadlines*'
 mechanism R87 platform/decode.c 's/number >= 0 \&\& number <= max))/1))/' platform 'Config.InvalidParts*'
 mechanism R21 $core/table_source.c 's/^	if (revision > tbl->revision)$/	if (1)/' table 'rows_by_source.*'
--- a/src/core/flow_internal.h
+++ b/src/core/flow_internal.h
@@ -299,6 +299,11 @@
  * Target lock held. A heartbeat that is newer than the last one, or repeats it,
  * has arrived but is not applied yet.
  */
+/*
+ * Whether the start can have happened. A heartbeat with another one is used, as
+ * clocks may be set back, but proves nothing about flows.
+ */
+int flw_start_is_plausible(const struct flw_heartbeat *heartbeat);
 void flw_compare_starts(struct flw *flw, const struct flw_heartbeat *heartbeat,
 			uint64_t now);
 /*
--- a/src/core/flow_lost.c
+++ b/src/core/flow_lost.c
@@ -24,6 +24,9 @@
 
 #include <string.h>
 
+/* A start that is later by more has not happened; clocks step by seconds. */
+#define CLOCK_STEP_MAX_MS 3600000
+
 /* Which flows are gone; the fields that are not set do not apply. */
 struct lost {
 	uint32_t probe_number; /* those given to the target before this probe */
@@ -77,6 +80,13 @@
 		prb_on_contradiction(&target->probe);
 }
 
+int flw_start_is_plausible(const struct flw_heartbeat *heartbeat)
+{
+	return !heartbeat->received_ms ||
+	       heartbeat->started_ms <=
+		       heartbeat->received_ms + CLOCK_STEP_MAX_MS;
+}
+
 /*
  * The same target has started again if both starts are known. Heartbeats of
  * another target, sent here by mistake, prove nothing.
@@ -85,7 +95,8 @@
 			  const struct flw_heartbeat *held)
 {
 	return !strcmp(heartbeat->id, held->id) && held->started_ms &&
-	       heartbeat->started_ms > held->started_ms;
+	       heartbeat->started_ms > held->started_ms &&
+	       flw_start_is_plausible(heartbeat);
 }
 
 void flw_compare_starts(struct flw *flw, const struct flw_heartbeat *heartbeat,
--- a/src/core/health.c
+++ b/src/core/health.c
@@ -2,11 +2,11 @@
 
 #include <string.h>
 
-#define SERVICE "service="
-
-static int is_space(uint8_t byte)
+static int is_word_byte(uint8_t byte)
 {
-	return byte == ' ' || byte == '\t' || byte == '\r' || byte == '\n';
+	return (byte >= 'a' && byte <= 'z') || (byte >= 'A' && byte <= 'Z') ||
+	       (byte >= '0' && byte <= '9') || byte == '-' || byte == '_' ||
+	       byte == '.';
 }
 
 static int equals(const uint8_t *word, size_t len, const char *text)
@@ -15,15 +15,8 @@
 }
 
 static void parse_word(struct hlt_report *report, const uint8_t *word,
-		       size_t len, const char *service)
+		       size_t len)
 {
-	size_t prefix = strlen(SERVICE);
-
-	if (len >= prefix && !memcmp(word, SERVICE, prefix)) {
-		report->other_service =
-			!equals(word + prefix, len - prefix, service);
-		return;
-	}
 	if (equals(word, len, "cold"))
 		report->cold = 1;
 	else if (equals(word, len, "draining"))
@@ -33,6 +26,14 @@
 	report->has_state = 1;
 }
 
+/* Position after the word that begins at from. */
+static size_t word_end(const uint8_t *body, size_t len, size_t from)
+{
+	while (from < len && is_word_byte(body[from]))
+		from++;
+	return from;
+}
+
 struct hlt_report hlt_parse(const uint8_t *body, size_t len,
 			    const char *service)
 {
@@ -40,15 +41,20 @@
 	size_t at = 0;
 
 	while (at < len) {
-		size_t begin;
-
-		while (at < len && is_space(body[at]))
-			at++;
-		begin = at;
-		while (at < len && !is_space(body[at]))
-			at++;
-		if (at > begin)
-			parse_word(&report, body + begin, at - begin, service);
+		size_t end = word_end(body, len, at);
+		size_t value = end + 1;
+		int named = end < len && body[end] == '=';
+
+		if (named && equals(body + at, end - at, "service")) {
+			end = word_end(body, len, value);
+			report.other_service =
+				!equals(body + value, end - value, service);
+		} else if (named && equals(body + at, end - at, "target")) {
+			end = word_end(body, len, value);
+		} else {
+			parse_word(&report, body + at, end - at);
+		}
+		at = end + 1;
 	}
 	return report;
 }
--- a/src/io/node.c
+++ b/src/io/node.c
@@ -229,7 +229,8 @@
 void nod_raise_incarnation(struct nod *nod, uint64_t previous)
 {
 	pthread_mutex_lock(&nod->lock);
-	if (previous >= nod->incarnation) {
+	/* The next one must be valid, too: mbr_check_record(). */
+	if (previous >= nod->incarnation && previous < MBR_INCARNATION_MAX) {
 		nod->incarnation = previous + 1;
 		mbr_set_incarnation(&nod->mbr, nod->incarnation);
 	}
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -554,6 +554,10 @@
 	/* A state is a word of its own. */
 	{ "ok service=desk target=cold-1", true, false, false, false },
 	{ "ok target=draining", true, false, false, false },
+	/* Other formats that contain the words. */
+	{ "state=draining;service=desk", true, false, true, false },
+	{ "{\"state\":\"cold\",\"target\":\"t-1\"}", true, true, false, false },
+	{ "OK", false, false, false, false },
 	/* What is not said does not end a drain or a cold start. */
 	{ "", false, false, false, false },
 	{ "service=desk", false, false, false, false },
--- a/tests/lost_test.cc
+++ b/tests/lost_test.cc
@@ -676,6 +676,8 @@
 		  PRB_ACCEPTED, false },
 		{ "not a later start", false, true, 1, PRB_ACCEPTED, false,
 		  50 },
+		{ "start in two hours", false, true, 1, PRB_ACCEPTED, false,
+		  7200000 },
 	};
 
 	for (const auto &c : cases) {
