--- a/include/jujube/table.h
+++ b/include/jujube/table.h
@@ -132,6 +132,9 @@
 const struct tbl_row *tbl_find(const struct tbl *tbl, Jj__Kind kind,
 			       const char *name);
 
+/* Number of rows that were removed and are kept as tombstones. */
+uint32_t tbl_count_removed(const struct tbl *tbl);
+
 /* Returns the accepted change with this id, or null. */
 const struct tbl_change *tbl_find_change(const struct tbl *tbl, const char *id);
 
--- a/src/core/table.c
+++ b/src/core/table.c
@@ -70,6 +70,16 @@
 	return tbl_find_row(tbl, kind, name);
 }
 
+uint32_t tbl_count_removed(const struct tbl *tbl)
+{
+	uint32_t removed = 0;
+	uint32_t i;
+
+	for (i = 0; i < tbl->count; i++)
+		removed += tbl->rows[i].state == JJ__ROW_STATE__STATE_REMOVED;
+	return removed;
+}
+
 const struct tbl_change *tbl_find_change(const struct tbl *tbl, const char *id)
 {
 	uint32_t i;
--- a/src/io/node.c
+++ b/src/io/node.c
@@ -90,9 +90,10 @@
 		mbr_set_revision(&nod->mbr, nod->tbl.revision);
 		nod->view_outdated = 1;
 		log_put(&nod->desc.log->sink, EV_TABLE_APPLIED,
-			"revision=%s before=%s rows=%u",
+			"revision=%s before=%s rows=%u removed=%u",
 			tbl_format_revision(nod->tbl.revision).text,
-			tbl_format_revision(before).text, nod->tbl.count);
+			tbl_format_revision(before).text, nod->tbl.count,
+			tbl_count_removed(&nod->tbl));
 	}
 	return status;
 }
@@ -132,9 +133,10 @@
 	mbr_set_revision(&nod->mbr, nod->tbl.revision);
 	nod->view_outdated = 1;
 	log_put(&nod->desc.log->sink, EV_TABLE_APPLIED,
-		"revision=%s before=%s changed=%u rows=%u",
+		"revision=%s before=%s changed=%u rows=%u removed=%u",
 		tbl_format_revision(nod->tbl.revision).text,
-		tbl_format_revision(before).text, changed, nod->tbl.count);
+		tbl_format_revision(before).text, changed, nod->tbl.count,
+		tbl_count_removed(&nod->tbl));
 }
 
 void nod_replace_source(struct nod *nod, const struct tbl_source *source)
@@ -147,9 +149,10 @@
 	before = nod->tbl.revision;
 	if (tbl_replace_source(&nod->tbl, source, &update, &err) != JJ_OK)
 		log_put(&nod->desc.log->sink, EV_TABLE_INVALID,
-			"source=%s revision=%s reason=%s", source->name,
+			"source=%s version=%llu revision=%s rows=%u reason=%s",
+			source->name, (unsigned long long)source->version,
 			tbl_format_revision(source->revision).text,
-			err.message);
+			source->count, err.message);
 	if (update.ignored)
 		log_put(&nod->desc.log->sink, EV_ITEM_OUTDATED,
 			"source=%s version=%llu revision=%s table=%s "
@@ -421,10 +424,12 @@
 	pthread_mutex_lock(&nod->lock);
 	fprintf(out,
 		"process name=%s incarnation=%llu uptime_s=%llu "
-		"revision=%s rows=%u members=%u confirmed_ms_ago=%lld\n",
+		"revision=%s rows=%u removed=%u members=%u "
+		"confirmed_ms_ago=%lld\n",
 		nod->desc.name, (unsigned long long)nod->incarnation,
 		(unsigned long long)((now - nod->started_ms) / 1000),
 		tbl_format_revision(nod->tbl.revision).text, nod->tbl.count,
+		tbl_count_removed(&nod->tbl),
 		nod->mbr.live_count,
 		nod->confirmed_ms ? (long long)(now - nod->confirmed_ms) : -1);
 	dump_members(nod, out);
--- a/src/io/node_transfer.c
+++ b/src/io/node_transfer.c
@@ -61,6 +61,7 @@
 	Jj__Envelope env = JJ__ENVELOPE__INIT;
 	Jj__Pull pull = JJ__PULL__INIT;
 	enum jj_status status = JJ_UNAVAILABLE;
+	uint64_t began_ms = net_now_ms();
 	Jj__Envelope *reply;
 	struct jj_error err;
 
@@ -71,8 +72,14 @@
 	env.pull = &pull;
 	met_add(&nod->met, MET_PULLS, 1);
 	reply = nod_request(nod, lane, ip, port, &env, TRANSFER_TIMEOUT_MS);
-	if (!reply)
+	if (!reply) {
+		log_put(&nod->desc.log->sink, EV_TRANSFER_FAILED,
+			"from=%s since=%s after_ms=%llu",
+			net_format_address(ip, port),
+			tbl_format_revision(since).text,
+			(unsigned long long)(net_now_ms() - began_ms));
 		return status;
+	}
 	if (reply->body_case == JJ__ENVELOPE__BODY_STATE) {
 		status = JJ_OK;
 		pthread_mutex_lock(&nod->lock);
