--- a/tests/relay.sh
+++ b/tests/relay.sh
@@ -5,6 +5,7 @@
 
 case $1 in
 restored_lease) lease_s=2 ;;
+large_configurations) rows_max=$(grep '^rows_max' deploy/relay.ini) ;;
 kill_target | frozen_target) egress_settings='probe_silence_ms = 250' ;;
 esac
 start_fleet
@@ -303,6 +304,42 @@
 	"$build/jujube" -c "$dir/balancer-1.ini" explain 100.64.0.7:1 198.18.0.1:443 >"$dir/out" 2>&1
 	[ $? = 2 ] || fail "settings of a balancer were accepted"
 	;;
+large_configurations) # each is in force in time, and after a power failure, too
+	large() { # VERSION ROUTES: that many routes besides the first two
+		local route='{"name":"x-&","host":"198.18.9.1","prefix":"/&/","service":"desk"}'
+		configure "$1" "$(seq "$2" | sed "s|.*|$route|" | paste -sd,)"
+	}
+	in_force() { # VERSION: at all processes within 3 s
+		local tries=30 name
+		for name in balancer-1 balancer-2 agent-{1..6}; do
+			until [ "$(rows_in_force "$name")" = $(($2 + 4)) ]; do
+				tries=$((tries - 1))
+				[ $tries -gt 0 ] || fail "version $1 is not in force at $name"
+				sleep 0.1
+			done
+		done
+	}
+	start_load 14 100
+	for i in 1 2 3 4; do
+		large $((8 + i)) $((1400 * i))
+		in_force $((8 + i)) $((1400 * i))
+	done
+	large 13 700 # drops most of them
+	in_force 13 700
+	check_load 0
+	for name in balancer-1 balancer-2 agent-{1..6}; do
+		kill -9 "${pids[$name]}"
+		wait "${pids[$name]}" 2>/dev/null
+	done
+	large 14 5600
+	start_balancer 1
+	start_balancer 2
+	start_agents
+	wait_ready 1
+	in_force 14 5600
+	start_load 4 100
+	check_load 0
+	;;
 *)
 	fail "unknown scenario $1"
 	;;
--- a/tests/relay_lib.sh
+++ b/tests/relay_lib.sh
@@ -36,6 +36,7 @@
 	probe_ms = 200
 	suspect_ms = 600
 	gossip_ms = 100
+	${rows_max:-}
 	[registry]
 	address = $store
 	lease_s = ${lease_s:-20}
@@ -94,8 +95,8 @@
 }
 
 operator() {
-	curl -s --noproxy '*' -X "$1" "http://$store/operator?key=$2" \
-		-d "${3:-}" >/dev/null
+	printf '%s' "${3:-}" | curl -s --noproxy '*' -X "$1" --data-binary @- \
+		"http://$store/operator?key=$2" >/dev/null
 }
 
 fault() {
@@ -125,6 +126,13 @@
 	grep JJ300 "$dir/$1.log" | tail -n 1 | sed 's/.* rows=\([0-9]*\).*/\1/'
 }
 
+# rows_in_force NAME: the same, without rows that were removed
+rows_in_force() {
+	grep JJ300 "$dir/$1.log" | tail -n 1 |
+		sed 's/.* rows=\([0-9]*\) removed=\([0-9]*\).*/\1 \2/' |
+		awk '{ print $1 - $2 }'
+}
+
 ready() {
 	curl -s --noproxy '*' -o "$dir/ready" -w '%{http_code}' \
 		"http://127.$net.1.$1:8167/ready"
--- a/tests/standin/metastore.c
+++ b/tests/standin/metastore.c
@@ -286,12 +286,15 @@
 static enum MHD_Result handle_operator(struct MHD_Connection *conn,
 				       const char *method, const char *body)
 {
-	char text[65536];
+	size_t size = sodium_base64_ENCODED_LEN(strlen(body),
+						sodium_base64_VARIANT_ORIGINAL);
+	char *text = malloc(size);
 
 	current.revision++;
-	sodium_bin2base64(text, sizeof(text), (const unsigned char *)body,
-			  strlen(body), sodium_base64_VARIANT_ORIGINAL);
+	sodium_bin2base64(text, size, (const unsigned char *)body, strlen(body),
+			  sodium_base64_VARIANT_ORIGINAL);
 	set_item(query(conn, "key"), strcmp(method, "DELETE") ? text : NULL, 0);
+	free(text);
 	pthread_cond_broadcast(&changed);
 	return reply(conn, 200, NULL);
 }
