Let the table's capacity follow its content

Callers were served by a route that a newer, acknowledged version had dropped, for good, at all processes; a process that started then had no table at all.

Cause: the table was an array of a fixed size, 4,096 rows as deployed, in which rows in force and all tombstones of the past shared the room. A version of which one row did not fit was rejected as a whole.

Change: memory grows with the rows, and rows_max is a guard of 32,768. The table records the version that it has of each source, so that a row of an earlier one is known to be removed: tombstones are bounded by the rows in force, or 4,096, and give way when the guard is reached.

Capacity.SmallTablesConverge found names that return while the table is full: their tombstones were dropped to make room that had been counted without them.

--- a/gen/jujube.pb-c.h
+++ b/gen/jujube.pb-c.h
@@ -265,7 +265,7 @@
   ProtobufCMessage base;
   char *name;
   /*
-   * of its newest row
+   * that the sender has of it
    */
   uint64_t version;
   /*
--- a/gen/settings.pb-c.c
+++ b/gen/settings.pb-c.c
@@ -822,7 +822,7 @@
 static const uint32_t jj__fleet_section__suspect_ms__default_value = 2000u;
 static const uint32_t jj__fleet_section__gossip_ms__default_value = 200u;
 static const uint32_t jj__fleet_section__members_max__default_value = 16384u;
-static const uint32_t jj__fleet_section__rows_max__default_value = 16384u;
+static const uint32_t jj__fleet_section__rows_max__default_value = 32768u;
 static const uint32_t jj__fleet_section__lanes_max__default_value = 65536u;
 static const ProtobufCFieldDescriptor jj__fleet_section__field_descriptors[8] =
 {
--- a/gen/settings.pb-c.h
+++ b/gen/settings.pb-c.h
@@ -71,8 +71,14 @@
   uint32_t gossip_ms;
   protobuf_c_boolean has_members_max;
   uint32_t members_max;
+  /*
+   * limit; memory follows the
+   */
   protobuf_c_boolean has_rows_max;
   uint32_t rows_max;
+  /*
+   * rows that there are
+   */
   /*
    * sending threads
    */
@@ -82,7 +88,7 @@
 extern char jj__fleet_section__seeds__default_value[];
 #define JJ__FLEET_SECTION__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jj__fleet_section__descriptor) \
-    , NULL, jj__fleet_section__seeds__default_value, 0, 500u, 0, 2000u, 0, 200u, 0, 16384u, 0, 16384u, 0, 65536u }
+    , NULL, jj__fleet_section__seeds__default_value, 0, 500u, 0, 2000u, 0, 200u, 0, 16384u, 0, 32768u, 0, 65536u }
 
 
 struct  Jj__PlatformSection
--- a/include/jujube/log.h
+++ b/include/jujube/log.h
@@ -103,6 +103,7 @@
 	  "complete table requested from a member")                            \
 	X(329, LOG_INFO_, TRANSFER_FAILED,                                     \
 	  "state transfer from a member failed")                               \
+	X(330, LOG_WARN_, TABLE_FULL, "table is full; rows are left out")      \
 	X(510, LOG_INFO_, STATE_HANDED_OVER, "flows and ledger handed over")   \
 	X(511, LOG_INFO_, STATE_RESTORED, "flows and ledger restored")         \
 	X(512, LOG_WARN_, HANDOVER_FAILED,                                     \
--- a/include/jujube/metric.h
+++ b/include/jujube/metric.h
@@ -48,6 +48,8 @@
 	X(CONTROL_OUT, "control_out", "control bytes sent")                   \
 	X(PLATFORM_CALLS, "platform_calls", "calls to the platform")          \
 	X(PULLS, "pulls", "state transfers requested")                        \
+	X(ROWS_LEFT_OUT, "rows_left_out",                                     \
+	  "rows read that did not fit into the table")                        \
 	X(DEFERRED, "deferred", "openings queued until a target has room")    \
 	X(RESETS, "resets", "resets sent to callers")                         \
 	X(TRIALS, "tried", "packets passed to the target on trial")           \
--- a/include/jujube/table.h
+++ b/include/jujube/table.h
@@ -9,6 +9,14 @@
  * tombstones so that an older copy cannot restore them. A target without a
  * row has state "in" and weight 100.
  *
+ * Memory follows the rows; capacity only bounds it. Rows of an external store
+ * that operators number need no tombstones in the long run: the table records
+ * the version that it has of each source, and rows of earlier versions are
+ * recognized by it. Their tombstones are kept for flows that were opened on a
+ * removed route, and so that members which are one version behind need only
+ * the rows that changed: as many as there are rows in force, but at least
+ * TBL_REMOVED_MIN, and fewer if the table is full.
+ *
  * Rows of an external store are ordered by their version first, if operators
  * number what they write, since the store may be restored from an older copy:
  * its revisions go back and are given out again, and acknowledged changes are
@@ -18,6 +26,10 @@
  * revision of the new era, so that processes which know only the restored
  * store learn of them.
  *
+ * One sixteenth of the capacity is reserved for rows without a version, such
+ * as evacuations. If a version has more rows than fit, the first ones in its
+ * order are applied and the others left out.
+ *
  * Not thread safe; callers must lock.
  */
 #ifndef JUJUBE_TABLE_H
@@ -29,7 +41,9 @@
 
 #define TBL_NAME_MAX 64 /* bytes, including the terminating zero */
 #define TBL_WHY_MAX 128
-#define TBL_CAPACITY_DEFAULT 16384 /* rows */
+#define TBL_CAPACITY_DEFAULT 32768 /* rows */
+#define TBL_REMOVED_MIN 4096 /* tombstones of numbered sources that may stay */
+#define TBL_SOURCES_MAX 16 /* numbered sources that the table records */
 #define TBL_CHANGES_MAX 256 /* most recent accepted changes that are kept */
 #define TBL_WEIGHT_DEFAULT 100 /* percent */
 #define TBL_WEIGHT_MAX 10000
@@ -73,13 +87,24 @@
 	char what[TBL_WHY_MAX];
 };
 
+/* The version of a source that all of its rows are up to date with. */
+struct tbl_version {
+	char source[TBL_NAME_MAX];
+	uint64_t version;
+	uint64_t revision; /* at which peers learn of it */
+	uint32_t left_out; /* its rows that did not fit, when it was read */
+};
+
 struct tbl {
 	struct tbl_row *rows;
 	uint32_t count;
-	uint32_t capacity;
+	uint32_t allocated; /* rows for which there is memory */
+	uint32_t capacity; /* most rows that the table may have */
 	struct map index; /* hash of kind and name -> position in rows */
 	struct map_cell *cells;
 	uint64_t revision;
+	struct tbl_version versions[TBL_SOURCES_MAX];
+	uint32_t version_count;
 	/* Sorted by revision, newest last. */
 	struct tbl_change changes[TBL_CHANGES_MAX];
 	uint32_t change_count;
@@ -122,8 +147,8 @@
 };
 
 /*
- * Allocates space for capacity rows, 0: TBL_CAPACITY_DEFAULT. Returns 0 when
- * out of memory.
+ * Initializes an empty table that may grow to capacity rows, 0:
+ * TBL_CAPACITY_DEFAULT. Returns 0 when out of memory.
  */
 int tbl_init(struct tbl *tbl, uint32_t capacity);
 void tbl_finish(struct tbl *tbl);
@@ -135,13 +160,17 @@
 /* Number of rows that were removed and are kept as tombstones. */
 uint32_t tbl_count_removed(const struct tbl *tbl);
 
+/* Number of rows that operators wrote and that did not fit. */
+uint32_t tbl_count_left_out(const struct tbl *tbl);
+
 /* Returns the accepted change with this id, or null. */
 const struct tbl_change *tbl_find_change(const struct tbl *tbl, const char *id);
 
 /*
  * Merges msg into the table: copies every row that is newer in msg and adds
  * its changes. The table revision becomes the higher of the two. All of msg is
- * validated first; on JJ_INVALID or JJ_FULL nothing is changed. JJ_STALE means
+ * validated first; on JJ_INVALID or JJ_SYSTEM nothing is changed. JJ_FULL: new
+ * rows did not fit and were left out, all others were merged. JJ_STALE means
  * that the revision of msg is lower than the table's. Individual rows that are
  * newer are still merged in this case, see edit.h on a platform that was
  * restored from a backup.
@@ -193,6 +222,7 @@
 	uint32_t changed;
 	uint32_t ignored; /* differ, but the table's row is newer */
 	uint32_t held; /* not, or no longer, in the restored store */
+	uint32_t left_out; /* did not fit */
 };
 
 /*
@@ -200,9 +230,11 @@
  * rows of this source that are missing from the list are removed. Rows of the
  * same version with the same or a higher revision are unchanged. If the table
  * has rows of a higher version, the source is outdated: nothing is replaced,
- * and rows that a restored store has lost are held. JJ_INVALID: a row is
- * invalid, and nothing was changed. Raises the table's revision only for held
- * rows, see tbl_raise_revision().
+ * and rows that a restored store has lost are held. JJ_INVALID, JJ_SYSTEM: a
+ * row is invalid, or out of memory, and nothing was changed. JJ_FULL: rows did
+ * not fit; the first ones of the source were applied, and update->left_out is
+ * set. Raises the table's revision only for held rows, see
+ * tbl_raise_revision().
  */
 enum jj_status tbl_replace_source(struct tbl *tbl,
 				  const struct tbl_source *source,
@@ -223,8 +255,8 @@
  */
 void tbl_raise_revision(struct tbl *tbl, uint64_t revision);
 
-/* Copies from into tbl. Both must have the same capacity. */
-void tbl_copy(struct tbl *tbl, const struct tbl *from);
+/* Copies from into tbl; returns 0, and leaves tbl as it was, without memory. */
+int tbl_copy(struct tbl *tbl, const struct tbl *from);
 
 /*
  * Validates the terms of a route: target_latency_ms, deadline_ms, priority and
--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -8,7 +8,7 @@
 git ls-files -z | xargs -0 cp --parents -t "$copy"
 cd "$copy" || exit 1
 cmake -S . -B build -G Ninja -DJJ_WERROR=OFF >/dev/null
-ninja -C build core_test table_test table_csv_test restore_test admit_test agent_test member_test \
+ninja -C build core_test table_test table_csv_test restore_test capacity_test admit_test agent_test member_test \
 	flow_test load_test waitq_test overload_test explain_test lost_test probe_test spill_test \
 	spill_fleet_test platform_test >/dev/null || exit 1
 passed=0
@@ -133,7 +133,10 @@
 mechanism R43 $core/table_merge.c 's/^	if (is_new && row->version < source_version) {/	if (0) {/' restore 'restored_store.AProcess*'
 mechanism R44 $core/table_merge.c 's/^		tbl_hold_row(tbl, held, hold);/		;/' restore 'restored_store.AProcess*'
 mechanism R45 $core/table_source.c 's/^		if (!hold || !may_be_lost(row, revision)) {/		if (1) {/' restore 'restored_store.TheOlderCopy*'
-mechanism R46 $core/table_merge.c 's/^	if (status == JJ_OK \&\& !msg->complete/	if (0 \&\& !msg->complete/' restore 'Versions.*'
+mechanism R46 $core/table_merge.c 's/^	if (!msg->complete \&\& !is_sufficient/	if (0 \&\& !is_sufficient/' restore 'Versions.*'
+mechanism R88 $core/table.c 's/^	if (tbl->count + count > tbl->capacity)$/	if (0)/' capacity 'Capacity.EachVersion*'
+mechanism R88 $core/table_source.c 's/source->version ? tbl_reserved(tbl) : 0/0/' capacity 'Capacity.RowsThatFit*'
+mechanism R88 $core/table_source.c 's/recorded->revision < source->revision) {/0) {/' capacity 'Capacity.ARemoval*'
 mechanism T $core/table_csv.c 's/^	if (row->target_latency_ms || row->deadline_ms || row->priority ||$/	if (1 || row->priority ||/' table_csv 'TableCsv.EarlierExports*'
 mechanism T $core/table_csv.c 's/put_field(out, tbl_idempotence_name(row->idempotent)/put_field(out, ""/' table_csv 'TableCsv.Export*'
 mechanism T $core/table.c 's/^	if (row->deadline_ms \&\& row->target_latency_ms > row->deadline_ms)$/	if (0)/' table_csv 'TableCsv.*'
--- a/src/core/edit.c
+++ b/src/core/edit.c
@@ -50,7 +50,8 @@
 {
 	enum jj_status status = JJ_OK;
 
-	tbl_copy(edt->candidate, known);
+	if (!tbl_copy(edt->candidate, known))
+		return st_fail(&edt->error, JJ_SYSTEM, "out of memory");
 	if (value)
 		status = tbl_merge(edt->candidate, value, &edt->error);
 	edt->restored = !is_up_to_date(value, known) && known->revision > 0;
--- a/src/core/table.c
+++ b/src/core/table.c
@@ -8,24 +8,15 @@
 #include "jujube/rank.h"
 
 #define PORT_DIGITS_MAX 5
+#define ROWS_MIN 64 /* memory of an empty table, in rows */
 
 /* -- memory -------------------------------------------------------------- */
 
 int tbl_init(struct tbl *tbl, uint32_t capacity)
 {
-	uint32_t cells;
-
 	memset(tbl, 0, sizeof(*tbl));
 	tbl->capacity = capacity ? capacity : TBL_CAPACITY_DEFAULT;
-	cells = map_cells_for(tbl->capacity);
-	tbl->rows = calloc(tbl->capacity, sizeof(*tbl->rows));
-	tbl->cells = calloc(cells, sizeof(*tbl->cells));
-	if (!tbl->rows || !tbl->cells) {
-		tbl_finish(tbl);
-		return 0;
-	}
-	map_init(&tbl->index, tbl->cells, cells);
-	return 1;
+	return tbl_reserve(tbl, ROWS_MIN);
 }
 
 void tbl_finish(struct tbl *tbl)
@@ -36,26 +27,129 @@
 	tbl->cells = NULL;
 }
 
-void tbl_copy(struct tbl *tbl, const struct tbl *from)
+static uint64_t row_key(Jj__Kind kind, const char *name)
+{
+	return rnk_name_id(name) ^ ((uint64_t)kind * 0x9e3779b97f4a7c15ull);
+}
+
+static void rebuild_index(struct tbl *tbl)
+{
+	uint32_t i;
+
+	map_init(&tbl->index, tbl->cells, map_cells_for(tbl->allocated));
+	for (i = 0; i < tbl->count; i++)
+		map_put(&tbl->index,
+			row_key(tbl->rows[i].kind, tbl->rows[i].name), i);
+}
+
+int tbl_reserve(struct tbl *tbl, uint32_t count)
+{
+	uint32_t allocated = tbl->allocated ? tbl->allocated : ROWS_MIN;
+	struct map_cell *cells;
+	struct tbl_row *rows;
+
+	if (tbl->allocated && count <= tbl->allocated)
+		return 1;
+	while (allocated < count)
+		allocated *= 2;
+	cells = calloc(map_cells_for(allocated), sizeof(*cells));
+	rows = cells ? realloc(tbl->rows, allocated * sizeof(*rows)) : NULL;
+	if (!rows) {
+		free(cells);
+		return 0;
+	}
+	free(tbl->cells);
+	tbl->cells = cells;
+	tbl->rows = rows;
+	tbl->allocated = allocated;
+	rebuild_index(tbl);
+	return 1;
+}
+
+int tbl_copy(struct tbl *tbl, const struct tbl *from)
 {
-	assert(tbl->capacity == from->capacity);
+	if (!tbl_reserve(tbl, from->count))
+		return 0;
 	memcpy(tbl->rows, from->rows, from->count * sizeof(*from->rows));
-	memcpy(tbl->cells, from->cells,
-	       (from->index.mask + 1) * sizeof(*from->cells));
 	memcpy(tbl->changes, from->changes, sizeof(from->changes));
+	memcpy(tbl->versions, from->versions, sizeof(from->versions));
 	tbl->change_count = from->change_count;
-	tbl->index.count = from->index.count;
+	tbl->version_count = from->version_count;
 	tbl->count = from->count;
 	tbl->revision = from->revision;
+	rebuild_index(tbl);
+	return 1;
 }
 
-/* -- lookup -------------------------------------------------------------- */
+/* Whether the version of its source tells that the row is removed. */
+static int is_droppable(const struct tbl *tbl, const struct tbl_row *row)
+{
+	return row->state == JJ__ROW_STATE__STATE_REMOVED && row->version &&
+	       tbl_find_version(tbl, row->change_id);
+}
 
-static uint64_t row_key(Jj__Kind kind, const char *name)
+static int by_revision(const void *a, const void *b)
 {
-	return rnk_name_id(name) ^ ((uint64_t)kind * 0x9e3779b97f4a7c15ull);
+	uint64_t x = *(const uint64_t *)a;
+	uint64_t y = *(const uint64_t *)b;
+
+	return (x > y) - (x < y);
+}
+
+void tbl_drop_removed(struct tbl *tbl, uint32_t drop)
+{
+	uint64_t *revisions = calloc(tbl->count + 1, sizeof(*revisions));
+	uint32_t droppable = 0;
+	uint32_t kept = 0;
+	uint64_t last;
+	uint32_t i;
+
+	for (i = 0; revisions && i < tbl->count; i++)
+		if (is_droppable(tbl, &tbl->rows[i]))
+			revisions[droppable++] = tbl->rows[i].revision;
+	if (drop > droppable)
+		drop = droppable;
+	if (!drop) {
+		free(revisions);
+		return;
+	}
+	qsort(revisions, droppable, sizeof(*revisions), by_revision);
+	last = revisions[drop - 1];
+	free(revisions);
+	for (i = 0; i < tbl->count; i++) {
+		const struct tbl_row *row = &tbl->rows[i];
+
+		if (drop && row->revision <= last && is_droppable(tbl, row)) {
+			drop--;
+			continue;
+		}
+		if (kept < i)
+			tbl->rows[kept] = *row;
+		kept++;
+	}
+	tbl->count = kept;
+	rebuild_index(tbl);
+}
+
+void tbl_limit_removed(struct tbl *tbl)
+{
+	uint32_t removed = tbl_count_removed(tbl);
+	uint32_t in_force = tbl->count - removed;
+	uint32_t most = in_force > TBL_REMOVED_MIN ? in_force : TBL_REMOVED_MIN;
+
+	if (removed > most)
+		tbl_drop_removed(tbl, removed - most);
 }
 
+uint32_t tbl_make_room(struct tbl *tbl, uint32_t count)
+{
+	if (tbl->count + count > tbl->capacity)
+		tbl_drop_removed(tbl, tbl->count + count - tbl->capacity);
+	return tbl->capacity - tbl->count;
+}
+
+/* -- lookup -------------------------------------------------------------- */
+
 struct tbl_row *tbl_find_row(const struct tbl *tbl, Jj__Kind kind,
 			     const char *name)
 {
@@ -64,6 +158,13 @@
 	return at == MAP_NONE ? NULL : &tbl->rows[at];
 }
 
+int tbl_is_in_force(const struct tbl *tbl, Jj__Kind kind, const char *name)
+{
+	const struct tbl_row *row = tbl_find_row(tbl, kind, name);
+
+	return row && row->state != JJ__ROW_STATE__STATE_REMOVED;
+}
+
 const struct tbl_row *tbl_find(const struct tbl *tbl, Jj__Kind kind,
 			       const char *name)
 {
@@ -80,6 +181,16 @@
 	return removed;
 }
 
+uint32_t tbl_count_left_out(const struct tbl *tbl)
+{
+	uint32_t left_out = 0;
+	uint32_t i;
+
+	for (i = 0; i < tbl->version_count; i++)
+		left_out += tbl->versions[i].left_out;
+	return left_out;
+}
+
 const struct tbl_change *tbl_find_change(const struct tbl *tbl, const char *id)
 {
 	uint32_t i;
@@ -97,7 +208,7 @@
 
 	if (row)
 		return row;
-	if (tbl->count == tbl->capacity ||
+	if (tbl->count >= tbl->capacity || !tbl_reserve(tbl, tbl->count + 1) ||
 	    map_put(&tbl->index, row_key(kind, name), tbl->count) != JJ_OK)
 		return NULL;
 	row = &tbl->rows[tbl->count++];
@@ -373,9 +484,11 @@
 		if (!tbl_find(tbl, edit->row.kind, edit->row.name))
 			new_rows++;
 	}
-	if (tbl->count + new_rows > tbl->capacity)
+	if (new_rows > tbl_make_room(tbl, new_rows))
 		return st_fail(err, JJ_FULL, "table would exceed %u rows",
 			       tbl->capacity);
+	if (!tbl_reserve(tbl, tbl->count + new_rows))
+		return st_fail(err, JJ_SYSTEM, "out of memory");
 	tbl->revision++;
 	for (i = 0; i < edits->count; i++) {
 		const struct tbl_edit *edit = &edits->items[i];
--- a/src/core/table_merge.c
+++ b/src/core/table_merge.c
@@ -6,9 +6,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Sources whose digest is sent; rows of further ones are merged unchecked. */
-#define TBL_SOURCES_MAX 16
-
 /* -- protobuf conversion ------------------------------------------------- */
 
 static void row_from_msg(struct tbl_row *row, const Jj__Row *msg)
@@ -75,33 +72,22 @@
 }
 
 /*
- * Fills sources with those that have a version, TBL_SOURCES_MAX at most, and
- * returns their number.
+ * Fills sources with those that are recorded and returns their number. Rows of
+ * other sources are merged unchecked.
  */
 static size_t list_sources(const struct tbl *tbl, Jj__Source *sources)
 {
-	size_t count = 0;
 	uint32_t i;
 
-	for (i = 0; i < tbl->count; i++) {
-		struct tbl_row *row = &tbl->rows[i];
-		size_t j = 0;
+	for (i = 0; i < tbl->version_count; i++) {
+		const struct tbl_version *recorded = &tbl->versions[i];
 
-		if (!row->version)
-			continue;
-		while (j < count && !tbl_is_from(row, sources[j].name))
-			j++;
-		if (j == TBL_SOURCES_MAX)
-			continue;
-		if (j == count) {
-			jj__source__init(&sources[count++]);
-			sources[j].name = row->change_id;
-		}
-		if (row->version > sources[j].version)
-			sources[j].version = row->version;
-		sources[j].digest ^= tbl_row_digest(row);
+		jj__source__init(&sources[i]);
+		sources[i].name = (char *)recorded->source;
+		sources[i].version = recorded->version;
+		sources[i].digest = tbl_source_digest(tbl, recorded->source);
 	}
-	return count;
+	return tbl->version_count;
 }
 
 uint8_t *tbl_pack(const struct tbl *tbl, uint64_t since, size_t *len)
@@ -221,16 +207,17 @@
 
 /*
  * Checks all rows of a message. source_versions[i] becomes the version that
- * the table has of the source of row i.
+ * the table has of the source of row i, *new_rows the number of rows that the
+ * table lacks, or may drop to make room.
  */
 static enum jj_status check_message(const struct tbl *tbl, const Jj__Table *msg,
 				    uint64_t *source_versions,
-				    struct jj_error *err)
+				    uint32_t *new_rows, struct jj_error *err)
 {
-	uint32_t new_rows = 0;
 	struct tbl_row row;
 	size_t i;
 
+	*new_rows = 0;
 	if (msg->revision > TBL_REVISION_MAX)
 		return st_fail(err, JJ_INVALID, "revision %llu is too large",
 			       (unsigned long long)msg->revision);
@@ -246,8 +233,9 @@
 				       "the table's",
 				       row.name,
 				       tbl_format_revision(row.revision).text);
-		if (!tbl_find_row(tbl, row.kind, row.name))
-			new_rows++;
+		if (row.state != JJ__ROW_STATE__STATE_REMOVED &&
+		    !tbl_is_in_force(tbl, row.kind, row.name))
+			++*new_rows;
 		if (!row.version)
 			continue;
 		/* Most rows have the same source as the one before. */
@@ -258,24 +246,35 @@
 			source_versions[i] =
 				tbl_held_version(tbl, row.change_id);
 	}
-	if (tbl->count + new_rows > tbl->capacity)
-		return st_fail(err, JJ_FULL, "table would exceed %u rows",
-			       tbl->capacity);
 	return JJ_OK;
 }
 
 /*
  * Merges a row; hold is the revision for rows that the sender must learn of. A
  * new row of an older version than the table has of its source was removed
- * since, although the table holds no tombstone of it.
+ * since, although the table holds no tombstone of it. A new tombstone of the
+ * same version, or an older one, tells nothing. Returns 0 if the row does not
+ * fit.
  */
-static void merge_row(struct tbl *tbl, struct tbl_row *row,
-		      uint64_t source_version, uint64_t hold)
+static int merge_row(struct tbl *tbl, struct tbl_row *row,
+		     uint64_t source_version, uint64_t hold)
 {
 	int is_new = !tbl_find_row(tbl, row->kind, row->name);
-	struct tbl_row *held = tbl_find_or_add_row(tbl, row->kind, row->name);
-
-	assert(held);
+	int is_tombstone =
+		row->version && row->state == JJ__ROW_STATE__STATE_REMOVED;
+	uint32_t most = tbl->capacity - (row->version ? tbl_reserved(tbl) : 0);
+	struct tbl_row *held;
+
+	if (is_new && is_tombstone &&
+	    (row->version <= source_version || tbl->count >= most))
+		return 1;
+	if (is_new && tbl->count >= most)
+		tbl_drop_removed(tbl, tbl->count + 1 - most);
+	if (is_new && tbl->count >= most)
+		return 0;
+	held = tbl_find_or_add_row(tbl, row->kind, row->name);
+	if (!held)
+		return 0;
 	if (is_new && row->version < source_version) {
 		*held = *row;
 		held->state = JJ__ROW_STATE__STATE_REMOVED;
@@ -286,6 +285,40 @@
 	} else if (row->revision > held->revision) {
 		tbl_hold_row(tbl, held, hold);
 	}
+	return 1;
+}
+
+/* Returns the number of rows that did not fit. */
+static uint32_t merge_rows(struct tbl *tbl, const Jj__Table *msg,
+			   const uint64_t *source_versions, uint64_t hold)
+{
+	uint32_t left_out = 0;
+	struct tbl_row row;
+	size_t i;
+
+	for (i = 0; i < msg->n_rows; i++) {
+		row_from_msg(&row, msg->rows[i]);
+		left_out += !merge_row(tbl, &row, source_versions[i], hold);
+	}
+	return left_out;
+}
+
+/*
+ * Records the versions of a message whose rows are merged: those of its
+ * sources, and of rows whose source is not listed.
+ */
+static void record_versions(struct tbl *tbl, const Jj__Table *msg)
+{
+	size_t i;
+
+	for (i = 0; i < msg->n_sources; i++)
+		tbl_record_version(tbl, msg->sources[i]->name,
+				   msg->sources[i]->version, msg->revision);
+	for (i = 0; i < msg->n_rows; i++)
+		if (msg->rows[i]->version)
+			tbl_record_version(tbl, msg->rows[i]->change_id,
+					   msg->rows[i]->version,
+					   msg->revision);
 }
 
 /*
@@ -364,43 +397,69 @@
 	return status;
 }
 
+/*
+ * Makes room for the rows of a message. Without it, only a complete table
+ * shows which rows give way.
+ */
+static enum jj_status prepare_merge(struct tbl *tbl, const Jj__Table *msg,
+				    uint32_t new_rows, struct jj_error *err)
+{
+	uint32_t reserved = tbl_reserved(tbl);
+	uint32_t room = tbl_make_room(tbl, new_rows + reserved);
+
+	if (!msg->complete && msg->n_sources && new_rows + reserved > room)
+		return st_fail(err, JJ_INCOMPLETE, "%u new rows, room for %u",
+			       new_rows, room);
+	if (!msg->complete && !is_sufficient(tbl, msg))
+		return st_fail(err, JJ_INCOMPLETE,
+			       "the rows that changed do not give the "
+			       "sender's table");
+	if (!tbl_reserve(tbl, tbl->count + (new_rows < room ? new_rows : room)))
+		return st_fail(err, JJ_SYSTEM, "out of memory");
+	return JJ_OK;
+}
+
 enum jj_status tbl_merge(struct tbl *tbl, const Jj__Table *msg,
 			 struct jj_error *err)
 {
 	int stale = msg->revision < tbl->revision;
 	uint64_t *source_versions =
 		calloc(msg->n_rows + 1, sizeof(*source_versions));
+	uint32_t left_out;
+	uint32_t new_rows;
 	enum jj_status status;
 	uint64_t hold;
-	size_t i;
 
 	if (!source_versions)
 		return st_fail(err, JJ_SYSTEM, "out of memory");
-	status = check_message(tbl, msg, source_versions, err);
-	if (status == JJ_OK && !msg->complete && !is_sufficient(tbl, msg))
-		status = st_fail(err, JJ_INCOMPLETE,
-				 "the rows that changed do not give the "
-				 "sender's table");
+	status = check_message(tbl, msg, source_versions, &new_rows, err);
+	if (status == JJ_OK)
+		status = prepare_merge(tbl, msg, new_rows, err);
 	if (status != JJ_OK) {
 		free(source_versions);
 		return status;
 	}
 	hold = tbl_hold_revision(tbl, msg->revision);
 	tbl_raise_revision(tbl, msg->revision);
-	for (i = 0; i < msg->n_rows; i++) {
-		struct tbl_row row;
-
-		row_from_msg(&row, msg->rows[i]);
-		merge_row(tbl, &row, source_versions[i], hold);
-	}
-	free(source_versions);
+	/* First, so that tombstones of these sources can give way. */
+	record_versions(tbl, msg);
+	left_out = merge_rows(tbl, msg, source_versions, hold);
 	if (msg->complete)
 		status = replace_sources(tbl, msg, err);
+	/* Rows of the message's sources may have given way to others. */
+	if (left_out && msg->complete)
+		left_out = merge_rows(tbl, msg, source_versions, hold);
+	free(source_versions);
+	tbl_limit_removed(tbl);
 	merge_changes(tbl, msg);
 	if (stale)
 		return st_fail(err, JJ_STALE,
 			       "older than the current revision %s",
 			       tbl_format_revision(tbl->revision).text);
+	if (left_out && status == JJ_OK)
+		return st_fail(err, JJ_FULL,
+			       "%u rows are left out: the table may have %u",
+			       left_out, tbl->capacity);
 	return status;
 }
 
--- a/src/core/table_source.c
+++ b/src/core/table_source.c
@@ -23,11 +23,42 @@
 	return !strncmp(row->change_id, source, sizeof(row->change_id) - 1);
 }
 
+struct tbl_version *tbl_find_version(const struct tbl *tbl, const char *source)
+{
+	uint32_t i;
+
+	for (i = 0; i < tbl->version_count; i++)
+		if (!strncmp(tbl->versions[i].source, source, TBL_NAME_MAX - 1))
+			return (struct tbl_version *)&tbl->versions[i];
+	return NULL;
+}
+
+void tbl_record_version(struct tbl *tbl, const char *source, uint64_t version,
+			uint64_t revision)
+{
+	struct tbl_version *recorded = tbl_find_version(tbl, source);
+
+	if (!recorded && version && tbl->version_count < TBL_SOURCES_MAX) {
+		recorded = &tbl->versions[tbl->version_count++];
+		*recorded = (struct tbl_version){ 0 };
+		snprintf(recorded->source, sizeof(recorded->source), "%s",
+			 source);
+	}
+	if (!recorded || version <= recorded->version)
+		return;
+	recorded->version = version;
+	recorded->revision = revision;
+	recorded->left_out = 0;
+}
+
 uint64_t tbl_held_version(const struct tbl *tbl, const char *source)
 {
+	const struct tbl_version *recorded = tbl_find_version(tbl, source);
 	uint64_t version = 0;
 	uint32_t i;
 
+	if (recorded)
+		return recorded->version;
 	assert(tbl->rows || !tbl->count);
 	for (i = 0; i < tbl->count; i++)
 		if (tbl_is_from(&tbl->rows[i], source) &&
@@ -123,21 +154,14 @@
 	       !strcmp(a->change_id, b->change_id);
 }
 
-static enum jj_status check_rows(const struct tbl *tbl,
-				 const struct tbl_row *rows, uint32_t count,
+static enum jj_status check_rows(const struct tbl_source *source,
 				 struct jj_error *err)
 {
-	uint32_t new_rows = 0;
 	uint32_t i;
 
-	for (i = 0; i < count; i++) {
-		if (tbl_check_row(&rows[i], err) != JJ_OK)
+	for (i = 0; i < source->count; i++)
+		if (tbl_check_row(&source->rows[i], err) != JJ_OK)
 			return JJ_INVALID;
-		new_rows += !tbl_find_row(tbl, rows[i].kind, rows[i].name);
-	}
-	if (tbl->count + new_rows > tbl->capacity)
-		return st_fail(err, JJ_FULL, "table would exceed %u rows",
-			       tbl->capacity);
 	return JJ_OK;
 }
 
@@ -175,9 +199,15 @@
 static void hold_newer_rows(struct tbl *tbl, const struct tbl_source *source,
 			    struct tbl_update *update)
 {
+	struct tbl_version *recorded = tbl_find_version(tbl, source->name);
 	uint64_t hold = tbl_hold_revision(tbl, source->revision);
 	uint32_t i;
 
+	/* The newer version may have only removed rows. */
+	if (recorded && recorded->revision < source->revision) {
+		recorded->revision = hold;
+		tbl_raise_revision(tbl, hold);
+	}
 	for (i = 0; i < tbl->count; i++) {
 		struct tbl_row *row = &tbl->rows[i];
 
@@ -192,36 +222,48 @@
 	}
 }
 
-enum jj_status tbl_replace_source(struct tbl *tbl,
+/* Removes the rows of the source that its first count rows do not contain. */
+static enum jj_status remove_rows(struct tbl *tbl,
 				  const struct tbl_source *source,
-				  struct tbl_update *update,
-				  struct jj_error *err)
+				  uint32_t count, uint64_t version,
+				  struct tbl_update *update)
 {
-	enum jj_status status =
-		check_rows(tbl, source->rows, source->count, err);
-	uint64_t held = tbl_held_version(tbl, source->name);
-	int removed = !source->version && !source->count;
-	uint64_t version = removed ? held : source->version;
-	uint8_t *in_source;
+	uint8_t *in_source = calloc(tbl->count + 1, 1);
 	uint32_t i;
 
-	*update = (struct tbl_update){ 0 };
-	if (status != JJ_OK)
-		return status;
-	if (version < held) {
-		hold_newer_rows(tbl, source, update);
-		return JJ_OK;
-	}
-	in_source = calloc(tbl->capacity, 1);
 	if (!in_source)
-		return st_fail(err, JJ_SYSTEM, "out of memory");
-	for (i = 0; i < source->count; i++) {
+		return JJ_SYSTEM;
+	for (i = 0; i < count; i++) {
+		struct tbl_row *at = tbl_find_row(tbl, source->rows[i].kind,
+						  source->rows[i].name);
+
+		if (at)
+			in_source[at - tbl->rows] = 1;
+	}
+	for (i = 0; i < tbl->count; i++)
+		if (!in_source[i] && tbl_is_from(&tbl->rows[i], source->name))
+			remove_row(tbl, &tbl->rows[i], version,
+				   source->revision, update);
+	free(in_source);
+	return JJ_OK;
+}
+
+/* Copies the first count rows of the source that differ. */
+static void copy_rows(struct tbl *tbl, const struct tbl_source *source,
+		      uint32_t count, uint64_t version,
+		      struct tbl_update *update)
+{
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
 		struct tbl_row row = source->rows[i];
 		struct tbl_row *at =
 			tbl_find_or_add_row(tbl, row.kind, row.name);
 
-		assert(at);
-		in_source[at - tbl->rows] = 1;
+		if (!at) {
+			update->left_out++;
+			continue;
+		}
 		snprintf(row.change_id, sizeof(row.change_id), "%s",
 			 source->name);
 		row.version = version;
@@ -229,11 +271,72 @@
 		if (!has_same_content(&row, at))
 			replace_row(tbl, at, &row, update);
 	}
+}
+
+/* Number of the first rows of the source that fit, at most source->count. */
+static uint32_t count_fitting(const struct tbl *tbl,
+			      const struct tbl_source *source)
+{
+	uint32_t reserved = source->version ? tbl_reserved(tbl) : 0;
+	uint32_t others = 0;
+	uint32_t i;
+
+	/* Removed rows of numbered sources give way. */
 	for (i = 0; i < tbl->count; i++)
-		if (!in_source[i] && tbl_is_from(&tbl->rows[i], source->name))
-			remove_row(tbl, &tbl->rows[i], version,
-				   source->revision, update);
-	free(in_source);
+		others += !tbl_is_from(&tbl->rows[i], source->name) &&
+			  (tbl->rows[i].state != JJ__ROW_STATE__STATE_REMOVED ||
+			   !tbl->rows[i].version);
+	if (others < reserved)
+		others = reserved;
+	if (others >= tbl->capacity)
+		return 0;
+	return source->count < tbl->capacity - others ? source->count :
+							tbl->capacity - others;
+}
+
+enum jj_status tbl_replace_source(struct tbl *tbl,
+				  const struct tbl_source *source,
+				  struct tbl_update *update,
+				  struct jj_error *err)
+{
+	uint64_t held = tbl_held_version(tbl, source->name);
+	int removed = !source->version && !source->count;
+	uint64_t version = removed ? held : source->version;
+	struct tbl_version *recorded;
+	uint32_t new_rows = 0;
+	uint32_t fitting;
+	uint32_t most;
+	uint32_t i;
+
+	*update = (struct tbl_update){ 0 };
+	if (check_rows(source, err) != JJ_OK)
+		return JJ_INVALID;
+	if (version < held) {
+		hold_newer_rows(tbl, source, update);
+		return JJ_OK;
+	}
+	fitting = count_fitting(tbl, source);
+	for (i = 0; i < fitting; i++)
+		new_rows += !tbl_is_in_force(tbl, source->rows[i].kind,
+					     source->rows[i].name);
+	most = tbl->count + new_rows < tbl->capacity ? tbl->count + new_rows :
+						       tbl->capacity;
+	if (!tbl_reserve(tbl, most) ||
+	    remove_rows(tbl, source, fitting, version, update) != JJ_OK)
+		return st_fail(err, JJ_SYSTEM, "out of memory");
+	tbl_record_version(tbl, source->name, version, source->revision);
+	tbl_make_room(tbl, new_rows);
+	update->left_out = source->count - fitting;
+	copy_rows(tbl, source, fitting, version, update);
+	tbl_limit_removed(tbl);
+	recorded = tbl_find_version(tbl, source->name);
+	if (recorded)
+		recorded->left_out = update->left_out;
+	if (update->left_out)
+		return st_fail(err, JJ_FULL,
+			       "%u of %u rows are left out: the table may "
+			       "have %u",
+			       update->left_out, source->count, tbl->capacity);
 	return JJ_OK;
 }
 
--- a/src/io/node.c
+++ b/src/io/node.c
@@ -139,20 +139,25 @@
 		tbl_count_removed(&nod->tbl));
 }
 
-void nod_replace_source(struct nod *nod, const struct tbl_source *source)
+enum jj_status nod_replace_source(struct nod *nod,
+				  const struct tbl_source *source)
 {
 	struct tbl_update update;
+	enum jj_status status;
 	struct jj_error err;
 	uint64_t before;
 
 	pthread_mutex_lock(&nod->lock);
 	before = nod->tbl.revision;
-	if (tbl_replace_source(&nod->tbl, source, &update, &err) != JJ_OK)
-		log_put(&nod->desc.log->sink, EV_TABLE_INVALID,
+	status = tbl_replace_source(&nod->tbl, source, &update, &err);
+	if (status != JJ_OK)
+		log_put(&nod->desc.log->sink,
+			status == JJ_FULL ? EV_TABLE_FULL : EV_TABLE_INVALID,
 			"source=%s version=%llu revision=%s rows=%u reason=%s",
 			source->name, (unsigned long long)source->version,
 			tbl_format_revision(source->revision).text,
 			source->count, err.message);
+	met_add(&nod->met, MET_ROWS_LEFT_OUT, update.left_out);
 	if (update.ignored)
 		log_put(&nod->desc.log->sink, EV_ITEM_OUTDATED,
 			"source=%s version=%llu revision=%s table=%s "
@@ -163,6 +168,7 @@
 			update.held);
 	publish_revision(nod, before, update.changed);
 	pthread_mutex_unlock(&nod->lock);
+	return status;
 }
 
 uint32_t nod_retain_sources(struct nod *nod, const char *const *sources,
@@ -424,12 +430,12 @@
 	pthread_mutex_lock(&nod->lock);
 	fprintf(out,
 		"process name=%s incarnation=%llu uptime_s=%llu "
-		"revision=%s rows=%u removed=%u members=%u "
+		"revision=%s rows=%u removed=%u left_out=%u members=%u "
 		"confirmed_ms_ago=%lld\n",
 		nod->desc.name, (unsigned long long)nod->incarnation,
 		(unsigned long long)((now - nod->started_ms) / 1000),
 		tbl_format_revision(nod->tbl.revision).text, nod->tbl.count,
-		tbl_count_removed(&nod->tbl),
+		tbl_count_removed(&nod->tbl), tbl_count_left_out(&nod->tbl),
 		nod->mbr.live_count,
 		nod->confirmed_ms ? (long long)(now - nod->confirmed_ms) : -1);
 	dump_members(nod, out);
--- a/src/io/node.h
+++ b/src/io/node.h
@@ -169,7 +169,8 @@
  * revision is announced and the view is rebuilt. nod_retain_sources() returns
  * the number of held rows.
  */
-void nod_replace_source(struct nod *nod, const struct tbl_source *source);
+enum jj_status nod_replace_source(struct nod *nod,
+				  const struct tbl_source *source);
 uint32_t nod_retain_sources(struct nod *nod, const char *const *sources,
 			    uint32_t count, uint64_t revision, int hold);
 void nod_raise_revision(struct nod *nod, uint64_t revision);
--- a/src/io/node_transfer.c
+++ b/src/io/node_transfer.c
@@ -90,10 +90,11 @@
 				nod, reply->state->table, &err);
 		pthread_mutex_unlock(&nod->lock);
 	}
-	if (status == JJ_INVALID || status == JJ_INCOMPLETE)
+	if (status != JJ_OK && status != JJ_STALE)
 		log_put(&nod->desc.log->sink,
-			status == JJ_INVALID ? EV_TABLE_INVALID :
-					       EV_TABLE_INCOMPLETE,
+			status == JJ_INCOMPLETE ? EV_TABLE_INCOMPLETE :
+			status == JJ_FULL	? EV_TABLE_FULL :
+						  EV_TABLE_INVALID,
 			"from=%s since=%s reason=%s",
 			net_format_address(ip, port),
 			tbl_format_revision(since).text, err.message);
--- a/tests/capacity_test.cc
+++ b/tests/capacity_test.cc
@@ -7,6 +7,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <fstream>
+#include <memory>
 
 #include "table_replica.h"
 
@@ -95,6 +96,106 @@
 	EXPECT_EQ(peer.services(), store.services);
 }
 
+/* Guards against an evacuation that a full table drops again. */
+TEST(Capacity, AMergeOfALargerTableLeavesRoomForEvacuations)
+{
+	operators_store store;
+	replica reader(128);
+	replica peer(64);
+
+	store.set_config(version_of(1, 100));
+	reader.list(store, 0);
+	EXPECT_EQ(peer.merge(reader, 0), JJ_FULL);
+	store.evacuate("z0");
+	peer.list(store, 0, JJ_FULL);
+	EXPECT_EQ(peer.evacuated(), (std::set<std::string>{ "z0" }));
+	EXPECT_GT(peer.services().size(), 50u);
+}
+
+/*
+ * Guards against routes that return: a restored store has them, and no row that
+ * tells of their removal is left in the fleet.
+ */
+TEST(Capacity, ARemovalOutlastsItsTombstonesAndARestore)
+{
+	operators_store store;
+	replica reader(64);
+	replica started(64);
+	config all = version_of(1, 50);
+	config kept(all.begin(), std::next(all.begin(), 10));
+
+	store.set_config(all);
+	store.copy = store.now;
+	reader.list(store, 0);
+	store.set_config(kept);
+	reader.list(store, 0);
+	for (int i = 0; i < 54; i++)
+		store.evacuate("z" + std::to_string(i));
+	reader.list(store, 0);
+	EXPECT_EQ(reader.evacuated().size(), 54u);
+	for (int i = 0; i < 54; i++)
+		store.take_back("z" + std::to_string(i));
+	reader.list(store, 0);
+	store.restore();
+	started.list(store, 1);
+	EXPECT_EQ(started.services(), all);
+	reader.list(store, 1);
+	EXPECT_EQ(reader.services(), kept);
+	started.pull(reader);
+	EXPECT_EQ(started.services(), kept);
+}
+
+/* Small tables, of which one reads the store: whatever comes, all agree. */
+RC_GTEST_PROP(Capacity, SmallTablesConverge,
+	      (std::vector<std::pair<uint8_t, uint8_t>> steps))
+{
+	operators_store store;
+	std::vector<std::unique_ptr<replica>> all;
+
+	for (int i = 0; i < 4; i++)
+		all.push_back(std::make_unique<replica>(24));
+	for (auto &step : steps) {
+		replica &one = *all[step.second % 4];
+		std::string zone = step.second % 2 ? "z1" : "z0";
+
+		switch (step.first % 6) {
+		case 0:
+		case 1:
+			store.set_config(
+				version_of(step.second, step.first / 6 % 20));
+			break;
+		case 2:
+			one.list(store, 0);
+			break;
+		case 3:
+			one.pull(*all[(step.second / 4u) % 4]);
+			break;
+		case 4:
+			all[step.second % 4] = std::make_unique<replica>(24);
+			break;
+		case 5:
+			if (step.second & 2)
+				store.evacuate(zone);
+			else
+				store.take_back(zone);
+			break;
+		}
+		for (auto &table : all)
+			RC_ASSERT(table->tbl.count <= 24u);
+	}
+	store.set_config(version_of(300, 20));
+	all[0]->list(store, 0);
+	for (int round = 0; round < 4; round++)
+		for (auto &to : all)
+			for (auto &from : all)
+				to->pull(*from);
+	for (auto &table : all) {
+		RC_ASSERT(table->services() == store.services);
+		table->list(store, 0);
+		RC_ASSERT(table->evacuated() == store.evacuated);
+	}
+}
+
 /* Guards against deployed settings that are far below the size to design for. */
 TEST(Capacity, DeployedSettingsHoldTheLargestConfigurations)
 {
