Do not announce the revision of an item that was rejected

A watcher that could not use an item raised the table's revision all the same. Its peers took the older rows for those of that revision, and JJ300 and 'jujube status' showed it as in force.

Cause: the revision of all items that were read was taken, whatever became of them. Now a rejected item does not count, and without memory for an item it is read again. Values of items beyond the 256th of a list are freed.

Failed before: relay_bad_input, "a rejected item raised the table's revision".

--- a/src/io/registry.c
+++ b/src/io/registry.c
@@ -8,12 +8,15 @@
 
 /* -- items --------------------------------------------------------------- */
 
-void reg_items_free(struct reg_items *items)
+static void reg_items_cut(struct reg_items *items, size_t count)
 {
-	size_t i;
+	while (items->count > count)
+		free(items->items[--items->count].value);
+}
 
-	for (i = 0; i < items->count; i++)
-		free(items->items[i].value);
+void reg_items_free(struct reg_items *items)
+{
+	reg_items_cut(items, 0);
 	free(items->items);
 	memset(items, 0, sizeof(*items));
 }
@@ -246,7 +249,11 @@
 
 /* -- operators' items ---------------------------------------------------- */
 
-static void apply_item(struct reg *reg, const struct reg_item *item)
+/*
+ * Applies an item to the table. A rejected one does not count for the table's
+ * revision. Returns 0 without memory: the item must be read again.
+ */
+static int apply_item(struct reg *reg, struct reg_item *item)
 {
 	const struct reg_store *store = &reg->desc.store;
 	struct tbl_source source = {
@@ -254,11 +261,27 @@
 		.revision = tbl_compose_revision(reg->era, item->revision),
 	};
 
-	if (!item->removed &&
-	    store->to_rows(store->ctx, item, &source, reg->desc.log) != JJ_OK)
-		return;
-	nod_replace_source(reg->nod, &source);
+	enum jj_status status = JJ_OK;
+
+	if (!item->removed)
+		status = store->to_rows(store->ctx, item, &source,
+					reg->desc.log);
+	if (status == JJ_OK)
+		status = nod_replace_source(reg->nod, &source);
 	free(source.rows);
+	item->rejected = status != JJ_OK && status != JJ_FULL;
+	return status != JJ_SYSTEM;
+}
+
+/* Returns 0 if an item must be read again. */
+static int apply_items(struct reg *reg, struct reg_items *items)
+{
+	size_t i;
+
+	for (i = 0; i < items->count; i++)
+		if (!apply_item(reg, &items->items[i]))
+			return 0;
+	return 1;
 }
 
 /*
@@ -271,7 +294,8 @@
 	size_t i;
 
 	for (i = 0; i < items->count; i++)
-		if (items->items[i].revision > newest)
+		if (!items->items[i].rejected &&
+		    items->items[i].revision > newest)
 			newest = items->items[i].revision;
 	if (newest)
 		nod_raise_revision(reg->nod,
@@ -318,12 +342,12 @@
 		log_put(reg->desc.log, EV_ITEM_INVALID,
 			"key=%s reason=more than %d items", items.items[0].key,
 			REG_SOURCES);
-		items.count = REG_SOURCES;
+		reg_items_cut(&items, REG_SOURCES);
 	}
-	for (i = 0; status == REG_OK && i < items.count; i++) {
-		apply_item(reg, &items.items[i]);
+	if (status == REG_OK && !apply_items(reg, &items))
+		status = REG_REFUSED;
+	for (i = 0; status == REG_OK && i < items.count; i++)
 		sources[i] = items.items[i].key;
-	}
 	if (status == REG_OK) {
 		retain_sources(reg, sources, &items);
 		update_revision(reg, &items);
@@ -340,7 +364,6 @@
 	struct reg_items items = { 0 };
 	enum reg_status status;
 	uint64_t before;
-	size_t i;
 
 	if (wait > reg->desc.watch_ms)
 		wait = reg->desc.watch_ms;
@@ -353,8 +376,8 @@
 	status = check_era(reg,
 			   store->watch(store->ctx, store->item_prefix,
 					reg->as_of, (uint32_t)wait, &items));
-	for (i = 0; status == REG_OK && i < items.count; i++)
-		apply_item(reg, &items.items[i]);
+	if (status == REG_OK && !apply_items(reg, &items))
+		status = REG_REFUSED;
 	if (status == REG_OK)
 		update_revision(reg, &items);
 	reg_items_free(&items);
--- a/src/io/registry.h
+++ b/src/io/registry.h
@@ -64,6 +64,7 @@
 	size_t len;
 	uint64_t revision;
 	int removed;
+	int rejected; /* was not applied to the table */
 };
 
 struct reg_items {
--- a/tests/relay.sh
+++ b/tests/relay.sh
@@ -249,8 +249,11 @@
 		-d '{"service":"desk","zone":"zone-1","version":"v1","slots":8,
 		"state":"ready","warmupLeftMs":0,"seq":5}')
 	[ "$code" = 400 ] || fail "a heartbeat without an address got $code"
+	applied=$(grep -c JJ300 "$dir/agent-1.log")
 	operator POST op/config 'no configuration'
 	check_load 0
+	[ "$(grep -c JJ300 "$dir/agent-1.log")" = "$applied" ] ||
+		fail "a rejected item raised the table's revision"
 	grep -q "JJ507" "$dir/agent-1.log" || fail "bad heartbeat not logged"
 	for name in $watchers; do # they read the operators' items
 		grep -q "JJ323" "$dir/$name.log" || fail "bad item not logged"
