Let a response of the store take as long as its size needs

Cause: timeout_ms, 500, bounded the whole response, whatever its size.

Change: timeout_ms bounds the wait for the response to begin, HTC_STALL_MS the pauses within it, HTC_RESPONSE_MAX_MS the rest.

--- a/src/io/http.c
+++ b/src/io/http.c
@@ -123,10 +123,23 @@
 	return 1;
 }
 
+/* Bytes of the response that have arrived and were not read yet. */
+static size_t received(const struct htc *htc)
+{
+	struct bufferevent *stream;
+
+	if (htc->done || !htc->conn)
+		return 0;
+	stream = evhttp_connection_get_bufferevent(htc->conn);
+	return evbuffer_get_length(bufferevent_get_input(stream));
+}
+
 static void wait_for_response(struct htc *htc, uint32_t timeout_ms)
 {
-	uint64_t until = net_now_ms() + timeout_ms;
 	uint64_t now = net_now_ms();
+	uint64_t until = now + timeout_ms;
+	uint64_t latest = until + HTC_RESPONSE_MAX_MS;
+	size_t before = 0;
 
 	while (!htc->done && now < until && !(htc->stop && *htc->stop)) {
 		uint64_t slice = until - now < STOP_CHECK_MS ? until - now :
@@ -136,6 +149,11 @@
 		event_base_loopexit(htc->base, &tv);
 		event_base_dispatch(htc->base);
 		now = net_now_ms();
+		if (received(htc) > before && until < now + HTC_STALL_MS)
+			until = now + HTC_STALL_MS < latest ?
+					now + HTC_STALL_MS :
+					latest;
+		before = received(htc);
 	}
 }
 
--- a/src/io/http.h
+++ b/src/io/http.h
@@ -2,8 +2,9 @@
  * http - HTTP client and small HTTP server, on libevent
  *
  * struct htc: client of one thread, with one persistent connection. A call
- * blocks until the response is complete, timeout_ms have passed, or *stop is
- * set. After a call without a response the connection is closed. TCP
+ * blocks until the response is complete, *stop is set, or the response has not
+ * begun within timeout_ms. Once it has, it may take as long as its size needs:
+ * the call ends when no byte arrives for HTC_STALL_MS. After a call without a response the connection is closed. TCP
  * keep-alive detects a dead connection even during a long blocking read.
  *
  * struct hts: server with one thread and several listening addresses. The
@@ -19,6 +20,8 @@
 #include "jujube/status.h"
 
 #define HTC_RESPONSE_MAX (8u << 20) /* bytes of a response body */
+#define HTC_STALL_MS 1000 /* longest pause within a response */
+#define HTC_RESPONSE_MAX_MS 10000 /* longest time of a response, once begun */
 #define HTS_REQUEST_MAX 65536 /* bytes of a request body */
 #define HTS_ADDRESSES 4
 
