Let watches of the store end in turn, as one may never be answered

Cause: a watch was waited for until the lease had to be renewed, up to 10 s. JJ300 and JJ310 show it: no call of the watchers in between, the change at all processes with the renewals, which fall together; the watches given up 0.5 s after that.

Change: the processes that watch take turns to end their watches, about one a second in the whole fleet (turn.h), so that losing all waiting watches hides a change for a second and the time limit of a call. Leases are renewed between two watches.

--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -113,6 +113,7 @@
 mechanism R21 $core/table_source.c 's/^	if (revision > tbl->revision)$/	if (1)/' table 'rows_by_source.*'
 mechanism R22 $core/flow_target.c 's/heartbeat->seq > FIRST_HEARTBEAT_SEQ/0/; s/return target->absent ? FLW_FOLLOWED_IF_LISTENING : FLW_NOT_FOLLOWED;/return FLW_FOLLOWED;/' flow 'Sizes/Lost.FlowsOfRunning*:Seeds/FlowSeeds.SurviveARestart*'
 mechanism R23 $core/flow_lookup.c 's/^		    is_asked(call, dead, \&awaited))/		    0)/' flow 'Sizes/Lost.FlowsAreReset*:Flows.AreNotResetInDoubt'
+mechanism R89 $core/turn.c 's/^	return wait < cycle .*/	return cycle;/' member 'Member.TurnsOf*'
 mechanism R24 $core/flow_lookup.c 's/^			flw_forward(\&trial, to, FLW_MODE_TRIAL);/			;/' flow 'Sizes/Lost.FlowsOfRunning*'
 mechanism R25 $core/flow.c 's/return to > from ? to - from : 0;/return to - from;/' flow 'Flows.AreNotExpired*'
 mechanism R26 $core/flow.c 's/^	if (work->call->delayed) {/	if (0) {/' flow 'Opening.ThatWaited*'
--- a/src/io/node.c
+++ b/src/io/node.c
@@ -220,6 +220,16 @@
 	return ahead < limit;
 }
 
+int nod_find_turn(struct nod *nod, uint32_t per_data_centre, struct trn *trn)
+{
+	int found;
+
+	pthread_mutex_lock(&nod->lock);
+	found = trn_find(&nod->mbr, per_data_centre, trn);
+	pthread_mutex_unlock(&nod->lock);
+	return found;
+}
+
 Jj__Member *nod_own_record(struct nod *nod)
 {
 	Jj__Member msg;
--- a/src/io/node.h
+++ b/src/io/node.h
@@ -20,6 +20,7 @@
 #include "jujube/member.h"
 #include "jujube/metric.h"
 #include "jujube/table.h"
+#include "jujube/turn.h"
 #include "jujube/view.h"
 #include "logio.h"
 
@@ -183,6 +184,9 @@
  */
 int nod_ranks_first(struct nod *nod, int same_role, uint32_t limit);
 
+/* trn_find() on the members of this process. */
+int nod_find_turn(struct nod *nod, uint32_t per_data_centre, struct trn *trn);
+
 /* Copy of this process's member record, on the heap; null: out of memory. */
 Jj__Member *nod_own_record(struct nod *nod);
 
--- a/src/io/registry.c
+++ b/src/io/registry.c
@@ -356,26 +356,34 @@
 	return status;
 }
 
+/*
+ * A watch ends with this process's turn, as it may never be answered. It is
+ * shorter than the interval of renewals.
+ */
+static uint32_t watch_wait_ms(const struct reg *reg)
+{
+	uint32_t wait = trn_wait_ms(&reg->turn, REG_TURN_MS,
+				    reg->desc.lease_ms / 3, net_wall_ms());
+
+	return wait < reg->desc.watch_ms ? wait : reg->desc.watch_ms;
+}
+
 static enum reg_status watch_table(struct reg *reg)
 {
 	const struct reg_store *store = &reg->desc.store;
-	uint64_t now = net_now_ms();
-	uint64_t wait = reg->renew_at > now ? reg->renew_at - now : 1;
+	uint32_t wait = watch_wait_ms(reg);
 	struct reg_items items = { 0 };
 	enum reg_status status;
 	uint64_t before;
 
-	if (wait > reg->desc.watch_ms)
-		wait = reg->desc.watch_ms;
 	/*
 	 * A restored store accepts a watch from a revision that it has given
 	 * out again, and shows its era only in the response.
 	 */
 	if (reg->failures)
 		wait = REG_CHECK_WAIT_MS;
-	status = check_era(reg,
-			   store->watch(store->ctx, store->item_prefix,
-					reg->as_of, (uint32_t)wait, &items));
+	status = check_era(reg, store->watch(store->ctx, store->item_prefix,
+					     reg->as_of, wait, &items));
 	if (status == REG_OK && !apply_items(reg, &items))
 		status = REG_REFUSED;
 	if (status == REG_OK)
@@ -402,7 +410,7 @@
 
 	if (reg->step != REG_REGISTERED || net_now_ms() < reg->watch_from)
 		return;
-	watching = nod_ranks_first(reg->nod, 0, REG_WATCHERS);
+	watching = nod_find_turn(reg->nod, REG_WATCHERS, &reg->turn);
 	if (watching == reg->watching)
 		return;
 	reg->watching = watching;
@@ -425,6 +433,17 @@
 	       net_now_ms() < reg->renew_at;
 }
 
+/*
+ * The lease of a process that watches is renewed between two watches, so that
+ * no watch is cut short for it.
+ */
+static int is_renewal_due(const struct reg *reg)
+{
+	uint64_t busy_ms = reg->watching ? watch_wait_ms(reg) : 0;
+
+	return net_now_ms() + busy_ms >= reg->renew_at;
+}
+
 /* Makes the most urgent call that is due. */
 static enum reg_status run_due_call(struct reg *reg)
 {
@@ -434,7 +453,7 @@
 		return register_process(reg);
 	if (reg->step != REG_REGISTERED)
 		return read_members(reg);
-	if (net_now_ms() >= reg->renew_at)
+	if (is_renewal_due(reg))
 		return renew_lease(reg);
 	if (reg->watching)
 		return watch_table(reg);
--- a/src/io/registry.h
+++ b/src/io/registry.h
@@ -11,7 +11,9 @@
  *    that rank first among the live members of each data centre watch the
  *    items; the others learn of a higher revision by gossip and pull the
  *    table. There is no election: when a watcher is declared dead, the next in
- *    rank takes over. Rows are replaced item by item; a full list, read after
+ *    rank takes over. They take turns to end their watches (see
+ *    jujube/turn.h), as a watch may never be answered, all at once if the store
+ *    is in trouble. Rows are replaced item by item; a full list, read after
  *    a gap in the history, also removes rows whose item no longer exists.
  *    Within an era of the store, revisions only rise: an older response
  *    changes nothing.
@@ -25,8 +27,9 @@
  *
  * Calls to the store: one renewal every lease_ms / 2. With it, processes that
  * do not watch read a list that may be seconds old, in case all watchers are
- * cut off from the store. A watcher makes one call per watch_ms and one per
- * change. Failed calls are retried with exponential backoff and jitter.
+ * cut off from the store. All watchers together make about one call per
+ * REG_TURN_MS, each at least one per lease_ms / 3, and one per change. Failed
+ * calls are retried with exponential backoff and jitter.
  */
 #ifndef JUJUBE_REGISTRY_H
 #define JUJUBE_REGISTRY_H
@@ -41,6 +44,11 @@
 #define REG_WATCHERS 2 /* per data centre, as one may be frozen or refused */
 /* Earlier, new members may not know each other, and all would watch. */
 #define REG_WATCH_DELAY_MS 1000
+/*
+ * Interval at which some watch of the fleet ends. A change during which no watch
+ * is answered is noticed after it and the time limit of a call.
+ */
+#define REG_TURN_MS 1000
 #define REG_CHECK_WAIT_MS 1 /* of the first watch after a failed call */
 #define REG_IDLE_MS 100 /* interval to check for due calls */
 /*
@@ -140,6 +148,7 @@
 	uint64_t as_of; /* revision up to which items are known, 0: none */
 	uint64_t watch_from; /* ms; this process does not watch before */
 	int watching;
+	struct trn turn; /* valid if watching */
 	int stale_read_due; /* read a list that may be old */
 	uint32_t delay_ms; /* before the next retry */
 	uint32_t failures; /* in a row */
--- a/tests/fleet_fake.h
+++ b/tests/fleet_fake.h
@@ -25,6 +25,7 @@
 #include "jujube/agent.h"
 #include "jujube/member.h"
 #include "jujube/route.h"
+#include "jujube/turn.h"
 #include "jujube/view.h"
 }
 
--- a/tests/member_test.cc
+++ b/tests/member_test.cc
@@ -1,7 +1,9 @@
 /* Group membership and gossip, in a simulated fleet. */
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cmath>
+#include <string>
 
 #include "fleet_fake.h"
 
@@ -300,6 +302,59 @@
 	{ "unknown phase", [](Jj__Member &r) { r.phase = (Jj__Phase)-1; } },
 };
 
+/*
+ * A call that is never answered must not hide a change for a whole cycle: some
+ * member's turn comes soon, at few calls whatever the size of the fleet.
+ */
+TEST(Member, TurnsOfAFleetAreSpreadEvenly)
+{
+	struct {
+		int data_centres;
+		int members; /* of each */
+		uint32_t longest_ms; /* between two turns */
+		int most_per_10_s;
+	} const cases[] = {
+		{ 1, 1, 2000, 5 },   { 1, 2, 1000, 10 },  { 1, 30, 1000, 10 },
+		{ 4, 1, 1000, 10 },  { 4, 20, 1000, 10 }, { 6, 200, 1000, 12 },
+		{ 20, 3, 1000, 40 }, { 3, 2, 1000, 10 },
+	};
+
+	for (auto &c : cases) {
+		fake_fleet fleet(5);
+		std::vector<uint64_t> times;
+
+		for (int i = 0; i < c.data_centres; i++)
+			for (int j = 0; j < c.members; j++)
+				fleet.add("m" + std::to_string(i) + "-" +
+						  std::to_string(j),
+					  BALANCER, "dc" + std::to_string(i),
+					  "");
+		exchange_member_lists(fleet);
+		for (auto &node : fleet.nodes) {
+			trn turn;
+
+			if (!trn_find(&node->mbr, 2, &turn))
+				continue;
+			for (uint64_t t = 77777; t < 87777;) {
+				uint32_t wait =
+					trn_wait_ms(&turn, 1000, 10000, t);
+
+				EXPECT_LT(wait, 12500u);
+				EXPECT_GT(wait, 0u);
+				t += wait;
+				times.push_back(t);
+			}
+		}
+		std::sort(times.begin(), times.end());
+		for (size_t i = 1; i < times.size(); i++)
+			EXPECT_LE(times[i] - times[i - 1], c.longest_ms)
+				<< c.data_centres << " x " << c.members;
+		EXPECT_LE(std::count_if(times.begin(), times.end(),
+					[](uint64_t t) { return t < 87777; }),
+			  c.most_per_10_s);
+	}
+}
+
 /*
  * Guards against an entry of the store that another writer left: a port beyond
  * the range named another port, and a process that found its own name with the
--- a/tests/relay.sh
+++ b/tests/relay.sh
@@ -128,6 +128,21 @@
 	[ "$(grep -c JJ520 "$dir/agent-1.log")" = "$before" ] ||
 		fail "the evacuation is not in force"
 	;;
+muted_watches) # no waiting watch gets a response; a change must not wait for them
+	sleep 2
+	[ -n "$(list_watchers)" ] || fail "no process watches the store"
+	fault mute
+	sleep 1.5
+	configure 9
+	revision=$(curl -s --noproxy '*' \
+		"http://$store/kv-range?prefix=op/config" |
+		sed -n 's/.*"revision": *\([0-9]*\).*/\1/p')
+	[ -n "$revision" ] || fail "no revision"
+	sleep 3
+	for name in balancer-{1..2} agent-{1..6}; do
+		has_table_revision "$name" "1.$revision" || fail "$name has an old table"
+	done
+	;;
 restored_reissued) # a change at a revision that was given out before the restore
 	sleep 2
 	[ -n "$(list_watchers)" ] || fail "no process watches the store"
--- a/tests/standin/metastore.c
+++ b/tests/standin/metastore.c
@@ -5,11 +5,12 @@
  * transactions and leases.
  * usage: standin-metastore IP PORT
  *
- * Faults, by GET: /fault?mode=up|down|slow|compact|lose|copy|restore (slow: as
- * if over a link of 4 Mbit/s; lose: the next transaction takes effect without a
- * reply; compact: the history so far is dropped; restore: the state returns to that of the last copy, and the era
- * rises). Revisions and lease ids that were given out after the copy are given
- * out again.
+ * Faults, by GET: /fault?mode=up|down|slow|compact|lose|mute|copy|restore (slow:
+ * as if over a link of 4 Mbit/s; lose: the next transaction takes effect without
+ * a reply; mute: the watches that wait now get no response, and their
+ * connections stay open; compact: the history so far is dropped; restore: the
+ * state returns to that of the last copy, and the era rises). Revisions and
+ * lease ids that were given out after the copy are given out again.
  * Operators write an item by POST /operator?key=K with the value as body, and
  * remove it by DELETE /operator?key=K.
  */
@@ -29,6 +30,7 @@
 #define LEASES 1024
 #define SLOW_PART 32768 /* bytes of a body sent at once, if slow */
 #define SLOW_PART_MS 60 /* pause before each */
+#define MUTE_MS 30000 /* until the connection of a muted watch is closed */
 
 struct item {
 	char key[201];
@@ -63,6 +65,7 @@
 static int down;
 static int lose_next_reply;
 static int slow; /* bodies are sent in parts */
+static int mute_count; /* times that the waiting watches were muted */
 
 static long long now_ms(void)
 {
@@ -198,32 +201,43 @@
 			       "asOf", (json_int_t)current.revision));
 }
 
+/* Waits for a change, or 50 ms. */
+static void wait_for_change(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	ts.tv_nsec += 50 * 1000000;
+	if (ts.tv_nsec >= 1000000000) {
+		ts.tv_sec++;
+		ts.tv_nsec -= 1000000000;
+	}
+	pthread_cond_timedwait(&changed, &lock, &ts);
+}
+
 static enum MHD_Result get_watch(struct MHD_Connection *conn)
 {
 	const char *prefix = query(conn, "prefix");
 	long long after = atoll(query(conn, "after"));
 	long long until = now_ms() + atoll(query(conn, "waitMs"));
+	int muted_before = mute_count;
 	json_t *list = NULL;
 
 	if (after < compacted_before || after > current.revision)
 		return reply(conn, 410, NULL);
 	for (;;) {
-		struct timespec ts;
-
 		expire_leases();
 		json_decref(list);
 		list = list_items(prefix, after, 1);
 		if (json_array_size(list) || now_ms() >= until || down)
 			break;
-		clock_gettime(CLOCK_REALTIME, &ts);
-		ts.tv_nsec += 50 * 1000000;
-		if (ts.tv_nsec >= 1000000000) {
-			ts.tv_sec++;
-			ts.tv_nsec -= 1000000000;
-		}
-		pthread_cond_timedwait(&changed, &lock, &ts);
+		wait_for_change();
+		if (mute_count == muted_before)
+			continue;
+		for (until += MUTE_MS; now_ms() < until;)
+			wait_for_change();
 	}
-	if (down) {
+	if (down || mute_count > muted_before) {
 		json_decref(list);
 		return MHD_NO;
 	}
@@ -351,6 +365,8 @@
 		lose_next_reply = 1;
 	else if (!strcmp(mode, "slow"))
 		slow = 1;
+	else if (!strcmp(mode, "mute"))
+		mute_count++;
 	else if (!strcmp(mode, "copy"))
 		copy_state(&copy, &current);
 	else if (!strcmp(mode, "restore"))
