Do not rely on known routes to prove a flow lost

Cause: the proof that a flow is lost took 'the address leads to one service only' from removed rows. A process that has just started has none, a running one drops the oldest beyond 4,096, and one that has not heard of a change yet does not know the new service.

Change: from the second inquiry on, agents of all services are asked, and only if all of them definitely do not hold the flow, it is lost. Holders found in another service get the packet. Lookups have room for 1,536 agents; in a larger fleet no flow counts as lost.

--- a/include/jujube/flow.h
+++ b/include/jujube/flow.h
@@ -137,6 +137,8 @@
 #define FLW_BATCH_DELAY_US 500
 /* flows per batch, so that an inquiry fits in a datagram */
 #define FLW_BATCH_LOOKUPS 48
+/* Agents of a fleet up to which a lookup can prove that a flow is lost. */
+#define FLW_LOOKUP_AGENTS_MAX 1536
 #define FLW_LOOKUP_PACKET_BYTES 512 /* largest packet kept during a lookup */
 /*
  * Covers two trips between data centres and a busy agent; an agent that is
@@ -369,8 +371,8 @@
 	/* packets are passed on trial to agents that may hold the flow */
 	uint8_t trials_sent;
 	uint8_t not_local; /* definitely not held by this agent's target */
-	uint8_t not_held[FLW_PEERS_MAX / 8]; /* bit per agent of the batch */
-	uint8_t unknown[FLW_PEERS_MAX / 8];
+	uint8_t not_held[FLW_LOOKUP_AGENTS_MAX / 8]; /* bit per batch's agent */
+	uint8_t unknown[FLW_LOOKUP_AGENTS_MAX / 8];
 	uint8_t packet[FLW_LOOKUP_PACKET_BYTES]; /* the latest */
 };
 
@@ -381,10 +383,11 @@
 	uint32_t agent_count;
 	uint32_t lookup_count;
 	uint32_t replies_left; /* live agents that have not replied */
-	uint8_t partial; /* the service has more than FLW_PEERS_MAX agents */
-	uint64_t agents[FLW_PEERS_MAX];
+	uint8_t partial; /* more than FLW_LOOKUP_AGENTS_MAX were to be asked */
+	uint64_t agents[FLW_LOOKUP_AGENTS_MAX];
+	uint8_t other_service[FLW_LOOKUP_AGENTS_MAX]; /* than this agent's */
 	/* the agent has replied or is considered dead */
-	uint8_t replied[FLW_PEERS_MAX];
+	uint8_t replied[FLW_LOOKUP_AGENTS_MAX];
 	struct flw_lookup lookups[FLW_BATCH_LOOKUPS];
 };
 
--- a/src/core/flow.c
+++ b/src/core/flow.c
@@ -104,6 +104,8 @@
 
 	packet.hops++;
 	packet.mode = mode;
+	/* The flow may have stayed with another service than its route's. */
+	packet.service = work->call->view->services[to->service].id;
 	packet.to_agent = to->id;
 	packet.to_incarnation = to->incarnation;
 	met_add(flw->desc.met, MET_PASSED_ON, 1);
--- a/src/core/flow_internal.h
+++ b/src/core/flow_internal.h
@@ -369,7 +369,8 @@
 	uint32_t silent; /* agents without a reply */
 	uint32_t unknown; /* agents that may hold the flow */
 	uint32_t searched; /* services searched before this one */
-	int partial; /* the service has more agents than were asked */
+	int partial; /* there are more agents than were asked */
+	int wide; /* agents of all services were asked */
 	int repeated; /* the agents were asked before */
 };
 
@@ -378,7 +379,7 @@
 
 /* flow_lookup.c: asking other agents for flows */
 /*
- * Asks all agents of the service for a flow. not_local: this agent's target
+ * Asks all agents for a flow, first those of the service. not_local: this agent's target
  * definitely does not hold it.
  */
 void flw_look_up(const struct flw_work *work, int not_local);
--- a/src/core/flow_lookup.c
+++ b/src/core/flow_lookup.c
@@ -10,11 +10,17 @@
  *
  * An agent that replies "not held" knows every flow of its target, or has seen
  * its target return a packet of this one. An agent that replies "unknown" gets
- * the flow's packets on trial. A flow is lost when every agent of the batch
- * definitely does not hold it. Agents that are considered dead are asked, too;
+ * the flow's packets on trial. Agents that are considered dead are asked, too;
  * if one does not reply, the result stays in doubt, since its target may be
  * alive. In that case only the agents without a definite reply are asked again.
  *
+ * The first inquiry for a flow goes to the agents of this agent's service, all
+ * later ones to those of all services. Which services a flow's address led to
+ * is not known for certain: this process may have started after a change, may
+ * not have heard of the latest one, or may have dropped the removed route. A
+ * flow is therefore lost only when every agent of every service definitely does
+ * not hold it, and in a fleet with more than FLW_LOOKUP_AGENTS_MAX agents never.
+ *
  * An agent whose last known phase is down leaves no doubt: every packet for its
  * target passes through it, and it gives the target no flow until all members
  * have had time to learn that it left that phase (see flow_lost.c). It is asked
@@ -103,6 +109,12 @@
 	return lookup->key && !lookup->retry_at;
 }
 
+/* Whether agents of all services are asked for the flow. */
+static int is_wide(const struct flw_lookup *lookup)
+{
+	return lookup->attempts > 1;
+}
+
 static void store_packet(struct flw_lookup *lookup, const Jj__Packet *packet)
 {
 	lookup->via_id = packet->via_id;
@@ -123,15 +135,18 @@
 	struct flw_lookup_result result = { .agent_count = batch->agent_count,
 					    .searched = lookup->searched,
 					    .partial = batch->partial,
+					    .wide = is_wide(lookup),
 					    .repeated = lookup->attempts > 1 };
 	uint32_t i;
 
 	for (i = 0; i < batch->agent_count; i++) {
-		if (bit_is_set(lookup->not_held, i))
+		uint32_t attempts = lookup->attempts - batch->other_service[i];
+
+		if (!attempts || bit_is_set(lookup->not_held, i))
 			continue;
 		if (bit_is_set(lookup->unknown, i))
 			result.unknown++;
-		else if (lookup->attempts < DOWN_ATTEMPTS ||
+		else if (attempts < DOWN_ATTEMPTS ||
 			 !flw_was_down(call, batch->agents[i]))
 			result.silent++;
 	}
@@ -171,23 +186,26 @@
 			 const struct viw_agent *me, const struct viw_agent *to,
 			 int dead)
 {
+	int other_service = to->service != me->service;
 	Jj__Envelope env = JJ__ENVELOPE__INIT;
 	Jj__Inquiry inquiry = JJ__INQUIRY__INIT;
 	uint64_t keys[FLW_BATCH_LOOKUPS];
 	uint32_t at = agent_position(batch, to->id);
 	uint32_t i;
 
-	if (at == FLW_PEERS_MAX) {
+	if (at == FLW_LOOKUP_AGENTS_MAX) {
 		batch->partial = 1;
 		return;
 	}
 	if (at == batch->agent_count)
 		batch->agents[batch->agent_count++] = to->id;
+	batch->other_service[at] = (uint8_t)other_service;
 	batch->replied[at] = 1;
 	if (to == me)
 		return;
 	for (i = 0; i < batch->lookup_count; i++)
 		if (is_active(&batch->lookups[i]) &&
+		    (!other_service || is_wide(&batch->lookups[i])) &&
 		    !bit_is_set(batch->lookups[i].not_held, at))
 			keys[inquiry.n_flows++] = batch->lookups[i].key;
 	if (!inquiry.n_flows)
@@ -217,34 +235,56 @@
 }
 
 /*
- * Sends the batch to live agents of the service, and to dead ones whose targets
- * may be alive.
+ * Asks live agents and dead ones whose targets may be alive: those of this
+ * agent's service, or those of all others.
  */
-static void send_batch(const struct flw_call *call,
-		       struct flw_lookup_batch *batch)
+static void ask_agents(const struct flw_call *call,
+		       struct flw_lookup_batch *batch,
+		       const struct viw_agent *me, int other_services)
 {
 	const struct viw *view = call->view;
-	const struct viw_service *service =
-		viw_service(view, call->flw->service);
-	const struct viw_agent *me = viw_agent(view, call->flw->desc.id);
 	uint32_t i;
 
-	if (!service || !me)
-		return;
-	batch->sent_at = call->now;
-	batch->replies_left = 0;
-	batch->partial = 0;
-	for (i = 0; i < service->count; i++)
-		send_inquiry(call, batch, me, &view->agents[service->first + i],
-			     0);
+	for (i = 0; i < view->agent_count; i++) {
+		const struct viw_agent *to = &view->agents[i];
+
+		if ((to->service != me->service) == other_services)
+			send_inquiry(call, batch, me, to, 0);
+	}
 	for (i = 0; i < view->recently_dead_count; i++) {
 		const struct viw_agent *dead = &view->recently_dead[i];
 		int awaited;
 
-		if (&view->services[dead->service] == service &&
+		if ((dead->service != me->service) == other_services &&
 		    is_asked(call, dead, &awaited))
 			send_inquiry(call, batch, me, dead, !awaited);
 	}
+}
+
+static int has_wide_lookup(const struct flw_lookup_batch *batch)
+{
+	uint32_t i;
+
+	for (i = 0; i < batch->lookup_count; i++)
+		if (is_active(&batch->lookups[i]) &&
+		    is_wide(&batch->lookups[i]))
+			return 1;
+	return 0;
+}
+
+static void send_batch(const struct flw_call *call,
+		       struct flw_lookup_batch *batch)
+{
+	const struct viw_agent *me = viw_agent(call->view, call->flw->desc.id);
+
+	if (!me)
+		return;
+	batch->sent_at = call->now;
+	batch->replies_left = 0;
+	batch->partial = 0;
+	ask_agents(call, batch, me, 0);
+	if (has_wide_lookup(batch))
+		ask_agents(call, batch, me, 1);
 	record_own_answer(call, batch);
 }
 
@@ -255,33 +295,56 @@
 	struct flw_lookup lookup;
 	struct flw_lookup_result result;
 	uint32_t trial_count; /* agents that get the packet on trial */
-	uint64_t trial_agents[FLW_PEERS_MAX];
+	uint64_t trial_agents[FLW_LOOKUP_AGENTS_MAX];
 };
 
+/* Whether no agent that was asked may hold the flow. */
+static int is_definite(const struct flw_lookup_result *result)
+{
+	return !result->unknown && !result->silent;
+}
+
+/* Adds the agents that may hold the flow, and get its packet on trial. */
+static void list_trials(const struct flw_lookup_batch *batch,
+			const struct flw_lookup *lookup, int other_services,
+			struct completed_lookup *out)
+{
+	uint32_t i;
+
+	for (i = 0; i < batch->agent_count; i++)
+		if (batch->other_service[i] == other_services &&
+		    bit_is_set(lookup->unknown, i) &&
+		    !bit_is_set(lookup->not_held, i))
+			out->trial_agents[out->trial_count++] =
+				batch->agents[i];
+}
+
 /*
  * Lookup lock held. A flow that is definitely lost is dropped from the batch.
- * Any other is asked for again later, since the caller's next packet may take
- * 1.6 s to arrive.
+ * One that no agent of this service holds is asked for elsewhere at once, any
+ * other later, since the caller's next packet may take 1.6 s to arrive.
  */
 static void complete_lookup(const struct flw_call *call,
 			    struct flw_lookup_batch *batch,
 			    struct flw_lookup *lookup,
 			    struct completed_lookup *out)
 {
-	uint32_t i;
+	int definite;
 
 	out->result = make_result(call, batch, lookup);
 	out->trial_count = 0;
-	for (i = 0; out->result.unknown && i < batch->agent_count; i++)
-		if (bit_is_set(lookup->unknown, i) &&
-		    !bit_is_set(lookup->not_held, i))
-			out->trial_agents[out->trial_count++] =
-				batch->agents[i];
+	list_trials(batch, lookup, 0, out);
+	/* Targets of other services get few packets of flows they don't hold. */
+	if (!out->trial_count)
+		list_trials(batch, lookup, 1, out);
 	out->lookup = *lookup;
 	lookup->trials_sent = out->trial_count > 0;
-	if (!lookup->retry_at)
+	definite = is_definite(&out->result);
+	if (definite && !is_wide(lookup))
+		lookup->retry_at = call->now;
+	else if (!lookup->retry_at)
 		lookup->retry_at = call->now + FLW_INQUIRY_RETRY_US;
-	if (!out->result.unknown && !out->result.silent)
+	if (definite && is_wide(lookup))
 		lookup->key = 0;
 }
 
--- a/src/core/flow_search.c
+++ b/src/core/flow_search.c
@@ -212,7 +212,6 @@
 			viw_balancer_data_centre(view, packet.via_id));
 		if (!home || service == work->service)
 			continue;
-		packet.service = service->id;
 		packet.searched = searched;
 		packet.hops = 0;
 		search.packet = &packet;
@@ -225,16 +224,15 @@
 /* -- unknown flows ------------------------------------------------------- */
 
 /*
- * Whether the lookup proves that no target holds the flow: every agent that
- * could hold it gave a definite answer.
+ * Whether the lookup proves that no target holds the flow: every agent of the
+ * fleet gave a definite answer. The services that the address is known to lead
+ * to prove nothing, see flow_lookup.c.
  */
 static int proves_lost(const struct flw_work *work,
 		       const struct flw_lookup_result *result)
 {
-	return work->call->flw->members_known && !result->silent &&
-	       !result->unknown && !result->partial &&
-	       count_services(work) <= 1 &&
-	       next_service(work, NULL) == work->service &&
+	return work->call->flw->members_known && result->wide &&
+	       !result->silent && !result->unknown && !result->partial &&
 	       work->head.acknowledges && !work->head.resets;
 }
 
@@ -244,10 +242,13 @@
 	struct flw *flw = work->call->flw;
 	int lost = proves_lost(work, result);
 
-	if (search_former_services(work, result->searched)) {
+	if (!lost && search_former_services(work, result->searched)) {
 		flw_cancel_lookup(flw, work->packet->flow);
 		return;
 	}
+	/* The agents of all services are asked next. */
+	if (!result->wide && !result->silent && !result->unknown)
+		return;
 	if (result->repeated && !lost)
 		return;
 	met_add(flw->desc.met, MET_WITHOUT_HOLDER, 1);
--- a/tests/flow_test.cc
+++ b/tests/flow_test.cc
@@ -596,6 +596,134 @@
 	EXPECT_EQ(fleet.callers[fresh].opened_by, "vault-0");
 }
 
+/* A fleet whose route can move from "desk" to other services. */
+struct moved_route : single_service_fleet {
+	explicit moved_route(uint64_t seed) : single_service_fleet(seed)
+	{
+		set_rows("config",
+			 { service_row("desk"), service_row("vault"),
+			   service_row("book"),
+			   route_row("r", "desk", "198.18.0.1:443") });
+		for (int i = 0; i < 3; i++)
+			add_agent("vault-" + std::to_string(i), "vault",
+				  i % 2 ? "dc-b" : "dc-a");
+		add_agent("book-0", "book", "dc-b");
+		run(100000);
+	}
+	void move_to(const char *service, bool lists_desk = true)
+	{
+		std::vector<tbl_row> rows = {
+			service_row("vault"), service_row("book"),
+			service_row("unused"),
+			route_row("r", service, "198.18.0.1:443")
+		};
+
+		if (lists_desk)
+			rows.push_back(service_row("desk"));
+		set_rows("config", rows);
+		run(100000);
+	}
+	/* The processes of these services start anew; "" are the balancers. */
+	void restart_all(const std::set<std::string> &services)
+	{
+		for (auto &a : agents) {
+			if (!services.count(a->service))
+				continue;
+			restart(*a);
+			a->view = view_without_history();
+			a->view_frozen = true;
+		}
+		if (!services.count(""))
+			return;
+		for (auto &b : balancers) {
+			restart(*b);
+			b->view = view_without_history();
+		}
+		run(100000);
+	}
+};
+
+/*
+ * A process that started after the change, or has dropped the removed row, does
+ * not know that the address led to another service. It must not take flows that
+ * are open there for lost.
+ */
+TEST(Flows, AreNotResetWhereTheFormerServiceIsNotKnown)
+{
+	struct {
+		std::vector<const char *> moves;
+		std::set<std::string> restarted;
+	} const cases[] = {
+		{ { "vault" }, { "" } },
+		{ { "vault" }, { "", "vault" } },
+		{ { "vault" }, { "", "vault", "book", "desk" } },
+		{ { "vault", "book" }, { "", "book" } },
+		{ { "vault", "book" }, { "", "vault", "book" } },
+		{ { "vault", "desk", "vault" }, { "", "vault", "desk" } },
+	};
+	uint64_t seed = 50;
+
+	for (auto &c : cases) {
+		moved_route fleet(seed++);
+		auto keys = fleet.open(10);
+
+		for (auto move : c.moves)
+			fleet.move_to(move);
+		fleet.restart_all(c.restarted);
+		for (auto key : keys) {
+			fleet.request(key, 0);
+			fleet.run(500000);
+			EXPECT_FALSE(fleet.callers[key].reset) << seed;
+			EXPECT_EQ(fleet.callers[key].answers, 2) << seed;
+		}
+	}
+}
+
+/*
+ * A flow opened by processes that know of a change is not lost for those that
+ * have not heard of it yet.
+ */
+TEST(Flows, AreNotResetByProcessesThatHaveNotHeardOfAChange)
+{
+	moved_route fleet(60);
+	std::shared_ptr<viw> older = fleet.view;
+
+	for (auto &a : fleet.agents)
+		a->view_frozen = a->service == "desk";
+	fleet.move_to("vault");
+	auto keys = fleet.open(10);
+	fleet.restart(*fleet.balancers[1]);
+	fleet.balancers[1]->view = older;
+	for (auto key : keys) {
+		fleet.request(key, 1);
+		fleet.run(500000);
+		EXPECT_FALSE(fleet.callers[key].reset);
+		EXPECT_EQ(fleet.callers[key].answers, 2);
+	}
+}
+
+/* Callers of flows that are lost get a reset wherever their route leads. */
+TEST(Flows, AreResetOnceNoServiceHoldsThem)
+{
+	for (int silent = 0; silent < 2; silent++) {
+		moved_route fleet(70 + (uint64_t)silent);
+		auto keys = fleet.open(10);
+
+		fleet.move_to("vault");
+		for (auto &a : fleet.agents)
+			if (a->service == "desk")
+				fleet.power_cycle(*a, 0);
+		if (silent) /* it might hold them */
+			fleet.agents.back()->alive = false;
+		fleet.restart_all({ "" });
+		for (auto key : keys) {
+			fleet.request(key, 0);
+			fleet.run(500000);
+			EXPECT_EQ(fleet.callers[key].reset, !silent);
+		}
+	}
+}
+
 /* -- limits on openings -------------------------------------------------- */
 
 TEST(Opening, NeverReachesAnotherService)
--- a/tests/relay_fake.h
+++ b/tests/relay_fake.h
@@ -301,6 +301,27 @@
 		for (auto &balancer : balancers)
 			balancer->view = view;
 	}
+	/* The view of a process that starts now: it knows no removed rows. */
+	std::shared_ptr<viw> view_without_history()
+	{
+		std::vector<tbl_row> rows;
+		tbl_update update;
+		tbl started = {};
+
+		for (uint32_t i = 0; i < table.count; i++)
+			if (table.rows[i].state != JJ__ROW_STATE__STATE_REMOVED)
+				rows.push_back(table.rows[i]);
+		tbl_source item = { "config", rows.data(),
+				    (uint32_t)rows.size(), 0, table.revision };
+		EXPECT_TRUE(tbl_init(&started, 0));
+		EXPECT_EQ(tbl_replace_source(&started, &item, &update, nullptr),
+			  JJ_OK);
+		started.revision = table.revision;
+		std::shared_ptr<viw> built(viw_build(&started, &members),
+					   viw_free);
+		tbl_finish(&started);
+		return built;
+	}
 	relay_agent &add_agent(const std::string &name,
 			       const std::string &service,
 			       const std::string &centre)
@@ -433,6 +454,15 @@
 		publish();
 		return b;
 	}
+	void restart(relay_balancer &b)
+	{
+		rt_desc desc = {};
+
+		rly_finish(b.core.get());
+		desc.max_flows = 1000;
+		EXPECT_EQ(rly_init(b.core.get(), &desc), JJ_OK);
+		b.core->data_centre = rnk_name_id(b.data_centre.c_str());
+	}
 	relay_agent *find_agent(uint64_t id)
 	{
 		for (auto &a : agents)
