Keep agents of unlisted services in the view

Cause: the view left out agents of services that the table does not list.

Change: services of live and recently dead agents are in the view, listed or not; unlisted ones accept no openings. The same for an agent whose target the table assigns to another service. If the service of a route has no agent, packets of unknown flows go to an agent of another, which searches.

--- a/include/jujube/view.h
+++ b/include/jujube/view.h
@@ -68,12 +68,13 @@
 	Jj__Idempotence idempotent;
 };
 
+/* A service of the table, or one that only agents in the view have. */
 struct viw_service {
 	uint64_t id;
 	char name[TBL_NAME_MAX];
-	uint32_t ip;
+	uint32_t ip; /* address of its own, 0: none */
 	uint16_t port;
-	uint8_t open; /* state is in: accepts new flows */
+	uint8_t open; /* listed, and state is in: accepts new flows */
 	uint32_t first; /* its agents: agents[first .. first + count) */
 	uint32_t count;
 	uint64_t digest; /* hash of its agents' ranking inputs */
--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -116,6 +116,8 @@
 mechanism R89 $core/turn.c 's/^	return wait < cycle .*/	return cycle;/' member 'Member.TurnsOf*'
 mechanism R90 $core/flow_search.c 's/members_known \&\& result->wide \&\&/members_known \&\&/' flow 'Flows.AreNotReset*'
 mechanism R90 $core/flow_lookup.c 's/^	return lookup->attempts > 1;/	return 0 \&\& lookup;/' flow 'Flows.AreResetOnce*'
+mechanism R91 $core/view.c 's/^	add_unlisted_services(view, tbl, mbr);/	qsort(view->services, view->service_count, sizeof(*view->services), by_service_id);/' flow 'Flows.StayWhenTheirService*'
+mechanism R91 $core/relay.c 's/i < view->service_count; i++/i < 0; i++/' flow 'Flows.StayWhenTheirRouteMovesTo*'
 mechanism R24 $core/flow_lookup.c 's/^			flw_forward(\&trial, to, FLW_MODE_TRIAL);/			;/' flow 'Sizes/Lost.FlowsOfRunning*'
 mechanism R25 $core/flow.c 's/return to > from ? to - from : 0;/return to - from;/' flow 'Flows.AreNotExpired*'
 mechanism R26 $core/flow.c 's/^	if (work->call->delayed) {/	if (0) {/' flow 'Opening.ThatWaited*'
--- a/src/core/relay.c
+++ b/src/core/relay.c
@@ -170,6 +170,24 @@
 			   choice);
 }
 
+/*
+ * Any agent can search for the holder of a flow (see flow_search.c), so that
+ * flows do not depend on agents of the service to which their route leads now.
+ */
+static enum jj_status choose_searcher(struct rly *rly, const struct viw *view,
+				      uint64_t key, uint64_t now_ms,
+				      struct rly_choice *choice)
+{
+	enum jj_status status = choose_home(rly, view, key, now_ms, 0, choice);
+	uint32_t i;
+
+	for (i = 0; status != JJ_OK && i < view->service_count; i++) {
+		choice->service = &view->services[i];
+		status = choose_home(rly, view, key, now_ms, 0, choice);
+	}
+	return status;
+}
+
 enum jj_status rly_pick(struct rly *rly, const struct viw *view,
 			const struct flw_packet *packet, uint64_t key,
 			uint64_t now_ms, struct rly_choice *choice)
@@ -194,7 +212,7 @@
 			view, packet->service_ip, packet->service_port, NULL);
 	if (!choice->service)
 		return JJ_NOT_FOUND;
-	return choose_home(rly, view, key, now_ms, 0, choice);
+	return choose_searcher(rly, view, key, now_ms, choice);
 }
 
 /* Neither the agent nor the flow's home loses openings. */
--- a/src/core/view.c
+++ b/src/core/view.c
@@ -65,8 +65,69 @@
 		service->open = row->state == JJ__ROW_STATE__STATE_IN;
 		view->service_count++;
 	}
+}
+
+/* Like tbl_find(), without removed rows. */
+static const struct tbl_row *find_active_row(const struct tbl *tbl,
+					     Jj__Kind kind, const char *name)
+{
+	const struct tbl_row *row = tbl_find(tbl, kind, name);
+
+	if (row && row->state == JJ__ROW_STATE__STATE_REMOVED)
+		return NULL;
+	return row;
+}
+
+/* Whether a member may have flows: it is live, or has died recently. */
+static int may_hold_flows(const struct mbr *mbr,
+			  const struct mbr_member *member)
+{
+	return member->used && member->role == JJ__ROLE__ROLE_AGENT &&
+	       (mbr_live(member) ||
+		mbr->last_tick < member->liveness_since + VIW_RECENTLY_DEAD_MS);
+}
+
+static void drop_duplicate_services(struct viw *view)
+{
+	uint32_t kept = 0;
+	uint32_t i;
+
+	for (i = 0; i < view->service_count; i++)
+		if (!kept ||
+		    view->services[kept - 1].id != view->services[i].id)
+			view->services[kept++] = view->services[i];
+	view->service_count = kept;
+}
+
+/*
+ * Adds services that the table does not list, but that agents have: flows that
+ * were opened before the list changed stay with them. They accept no new flows.
+ */
+static void add_unlisted_services(struct viw *view, const struct tbl *tbl,
+				  const struct mbr *mbr)
+{
+	uint32_t i;
+
+	for (i = 0; i < mbr->count; i++) {
+		const struct mbr_member *member = &mbr->members[i];
+		const struct tbl_row *removed;
+		struct viw_service *service;
+
+		if (!may_hold_flows(mbr, member) ||
+		    find_active_row(tbl, JJ__KIND__KIND_SERVICE,
+				    member->service))
+			continue;
+		removed =
+			tbl_find(tbl, JJ__KIND__KIND_SERVICE, member->service);
+		service = &view->services[view->service_count++];
+		service->id = rnk_name_id(member->service);
+		snprintf(service->name, sizeof(service->name), "%s",
+			 member->service);
+		service->flow_idle_ms = removed ? removed->flow_idle_ms : 0;
+	}
 	qsort(view->services, view->service_count, sizeof(*view->services),
 	      by_service_id);
+	drop_duplicate_services(view);
 }
 
 static int by_address(const void *a, const void *b)
@@ -115,17 +176,6 @@
 	      by_address);
 }
 
-/* Like tbl_find(), without removed rows. */
-static const struct tbl_row *find_active_row(const struct tbl *tbl,
-					     Jj__Kind kind, const char *name)
-{
-	const struct tbl_row *row = tbl_find(tbl, kind, name);
-
-	if (row && row->state == JJ__ROW_STATE__STATE_REMOVED)
-		return NULL;
-	return row;
-}
-
 /* Finds the row by the target's own name, else by the name of its agent. */
 static const struct tbl_row *target_row(const struct tbl *tbl,
 					const struct mbr_member *member)
@@ -202,6 +252,9 @@
 static void add_agent(struct viw *view, const struct tbl *tbl,
 		      const struct mbr_member *member)
 {
+	static const struct tbl_row unlisted = {
+		.state = JJ__ROW_STATE__STATE_DRAINING
+	};
 	const struct tbl_row *service =
 		find_active_row(tbl, JJ__KIND__KIND_SERVICE, member->service);
 	const struct tbl_row *target = target_row(tbl, member);
@@ -211,12 +264,12 @@
 		viw_service(view, rnk_name_id(member->service));
 	struct viw_agent *agent;
 
-	if (!service || !in_view)
+	if (!in_view)
 		return;
 	/* The table may assign the target to another service; it decides. */
-	if (target && *target->service &&
-	    strcmp(target->service, member->service))
-		return;
+	if (!service || (target && *target->service &&
+			 strcmp(target->service, member->service)))
+		service = &unlisted;
 	agent = &view->agents[view->agent_count++];
 	set_identity(agent, member, (uint32_t)(in_view - view->services));
 	set_limits(agent, target, service);
@@ -246,14 +299,13 @@
  * and is left out, so that no lookup waits for its reply: during a release some
  * agent always has just left.
  */
-static void add_recently_dead(struct viw *view, const struct mbr_member *member,
-			      uint64_t now)
+static void add_recently_dead(struct viw *view, const struct mbr *mbr,
+			      const struct mbr_member *member)
 {
 	struct viw_service *service = (struct viw_service *)viw_service(
 		view, rnk_name_id(member->service));
 
-	if (!service || !member->used || member->role != JJ__ROLE__ROLE_AGENT ||
-	    now >= member->liveness_since + VIW_RECENTLY_DEAD_MS ||
+	if (!service || !may_hold_flows(mbr, member) ||
 	    (member->phase == JJ__PHASE__PHASE_DOWN &&
 	     member->liveness == JJ__LIVENESS__LIVE_LEFT))
 		return;
@@ -275,7 +327,7 @@
 		const struct mbr_member *member = &mbr->members[i];
 
 		if (!mbr_live(member)) {
-			add_recently_dead(view, member, mbr->last_tick);
+			add_recently_dead(view, mbr, member);
 			continue;
 		}
 		if (member->role == JJ__ROLE__ROLE_AGENT)
@@ -332,7 +384,8 @@
 	if (!view)
 		return NULL;
 	view->revision = tbl->revision;
-	view->services = calloc(tbl->count + 1, sizeof(*view->services));
+	view->services =
+		calloc(tbl->count + mbr->count + 1, sizeof(*view->services));
 	view->agents = calloc(mbr->count + 1, sizeof(*view->agents));
 	view->recently_dead = calloc(mbr->count - mbr->live_count + 1,
 				     sizeof(*view->recently_dead));
@@ -349,6 +402,7 @@
 	}
 	map_init(&view->agent_index, view->cells, cells);
 	add_services(view, tbl);
+	add_unlisted_services(view, tbl, mbr);
 	add_routes(view, tbl);
 	add_members(view, tbl, mbr);
 	index_agents(view);
--- a/src/io/forward.c
+++ b/src/io/forward.c
@@ -164,7 +164,8 @@
 	}
 	close_removed(t);
 	for (i = 0; i < view->service_count && !view->self_out; i++)
-		if (!find_service(t, view->services[i].id))
+		if (view->services[i].port &&
+		    !find_service(t, view->services[i].id))
 			open_service(t, &view->services[i]);
 }
 
--- a/tests/flow_test.cc
+++ b/tests/flow_test.cc
@@ -702,6 +702,67 @@
 	}
 }
 
+/* Flows outlast the service in the table's list, and its return there. */
+TEST(Flows, StayWhenTheirServiceLeavesTheList)
+{
+	std::set<std::string> const restarted[] = {
+		{},
+		{ "" },
+		{ "desk" },
+		{ "", "vault" },
+		{ "", "desk", "vault" },
+	};
+	uint64_t seed = 80;
+
+	for (auto &services : restarted) {
+		moved_route fleet(seed++);
+		auto keys = fleet.open(10);
+
+		fleet.move_to("vault", false);
+		fleet.restart_all(services);
+		for (auto key : keys) {
+			fleet.request(key, 0);
+			fleet.run(500000);
+			EXPECT_FALSE(fleet.callers[key].reset) << seed;
+			EXPECT_EQ(fleet.callers[key].answers, 2) << seed;
+		}
+		/* It opens no more flows until it is back. */
+		for (auto &a : fleet.agents)
+			a->view_frozen = false;
+		fleet.set_rows("more", { fleet.route_row("r2", "desk",
+							 "198.18.0.1:444") });
+		uint64_t early = fleet.add_caller(500, 0xc6120001, 444);
+		fleet.send(early, 0);
+		fleet.run(100000);
+		EXPECT_FALSE(fleet.callers[early].open);
+		fleet.move_to("desk");
+		uint64_t late = fleet.add_caller(501);
+		fleet.send(late, 0);
+		fleet.run(100000);
+		EXPECT_TRUE(fleet.callers[late].open);
+		for (auto key : keys) {
+			fleet.request(key, 1);
+			fleet.run(500000);
+			EXPECT_EQ(fleet.callers[key].answers, 3) << seed;
+		}
+	}
+}
+
+/* No agent of the service to which the route leads has started yet. */
+TEST(Flows, StayWhenTheirRouteMovesToAServiceWithoutAgents)
+{
+	moved_route fleet(90);
+	auto keys = fleet.open(10);
+
+	fleet.move_to("unused");
+	fleet.restart_all({ "" });
+	for (auto key : keys) {
+		fleet.request(key, 0);
+		fleet.run(500000);
+		EXPECT_EQ(fleet.callers[key].answers, 2);
+	}
+}
+
 /* Callers of flows that are lost get a reset wherever their route leads. */
 TEST(Flows, AreResetOnceNoServiceHoldsThem)
 {
