--- a/src/core/flow_internal.h
+++ b/src/core/flow_internal.h
@@ -379,8 +379,8 @@
 
 /* flow_lookup.c: asking other agents for flows */
 /*
- * Asks all agents for a flow, first those of the service. not_local: this agent's target
- * definitely does not hold it.
+ * Asks all agents for a flow, first those of the service. not_local: this
+ * agent's target definitely does not hold it.
  */
 void flw_look_up(const struct flw_work *work, int not_local);
 /*
