--- a/tests/lost_test.cc
+++ b/tests/lost_test.cc
@@ -527,11 +527,21 @@
 
 /*
  * An agent that returned while gossip is late: others still count it as down.
- * Its own reply must decide, also if an inquiry to it is lost.
+ * Its own reply must decide, also if one or two inquiries to it are lost.
  */
 TEST(Lost, AReplyOfAReturnedAgentCountsMoreThanItsStalePhase)
 {
-	for (bool declared_dead : { true, false }) {
+	struct {
+		bool declared_dead;
+		uint64_t away_ms; /* the agent, when the inquiries begin */
+	} const cases[] = {
+		{ true, 50 },
+		{ false, 50 },
+		{ true, 400 },
+		{ false, 400 },
+	};
+
+	for (auto &c : cases) {
 		lost_fleet fleet(7);
 		relay_agent &agent = *fleet.agents[0];
 
@@ -542,7 +552,7 @@
 			  JJ__PHASE__PHASE_DOWN);
 		fleet.gossip_us = 3600 * SECOND;
 		agent.view_frozen = true;
-		if (declared_dead)
+		if (c.declared_dead)
 			fleet.set_member(FIRST, JJ__ROLE__ROLE_AGENT, "desk",
 					 "dc-a", JJ__PHASE__PHASE_DOWN,
 					 JJ__LIVENESS__LIVE_DEAD);
@@ -554,14 +564,14 @@
 		ASSERT_EQ(fleet.callers[key].opened_by, FIRST);
 		fleet.request(key, 0);
 		fleet.run(10 * MS);
-		agent.alive = false; /* loses the first inquiry */
-		fleet.run(50 * MS);
+		agent.alive = false;
+		fleet.run(c.away_ms * MS);
 		agent.alive = true;
 		fleet.run(600 * MS);
 		fleet.request(key, 1);
 		fleet.run(600 * MS);
-		EXPECT_TRUE(fleet.resets.empty()) << declared_dead;
-		EXPECT_GT(fleet.callers[key].answers, 0) << declared_dead;
+		EXPECT_TRUE(fleet.resets.empty()) << c.away_ms;
+		EXPECT_GT(fleet.callers[key].answers, 0) << c.away_ms;
 	}
 }
 
